--- a/endivestep/src/main/kotlin/org/endivestep/admission/AdmissionQueue.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/admission/AdmissionQueue.kt
@@ -1,8 +1,13 @@
 package org.endivestep.admission
 
 import org.endivestep.document.LimitSettings
+import org.endivestep.exchange.RequestRank
 import org.endivestep.outcome.Load
 import org.endivestep.outcome.NotRunReason
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.locks.Condition
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
 
 /** Decision about one request that wants to run at this daemon's worker. */
 internal sealed interface Admission {
@@ -20,68 +25,77 @@
 }
 
 /**
- * Admits requests within an [AdmissionLimit] and lets a bounded number wait for a bounded time,
- * the oldest first.
+ * Admits requests within an [AdmissionLimit] and lets a bounded number wait for a bounded time.
  *
- * Thread-safe; [admit] blocks its thread while it waits.
+ * Requests that wait are admitted in the order of [waitingOrder], equal ones in the order of their
+ * arrival. Thread-safe; [admit] blocks its thread while it waits.
  */
 internal class AdmissionQueue(private var settings: LimitSettings, private val clockMs: () -> Long) {
-    private class Waiter(val occupancy: Occupancy) {
+    private class Waiter(val occupancy: Occupancy, val rank: RequestRank, val admitted: Condition) {
         var admission: Admission? = null
     }
 
     private val limit = AdmissionLimit(settings)
+    private val pace = ColdPace()
     private val waiting = ArrayDeque<Waiter>()
     private var runningAlone = false
     private var closedFor: NotRunReason? = null
-    private val lock = Object()
+    private var slownessPercent = 0
+    private val lock = ReentrantLock()
 
-    val load: Load get() = synchronized(lock) { limit.load }
+    val load: Load
+        get() = lock.withLock { limit.load.copy(waiting = waiting.size, slownessPercent = slownessPercent) }
+
+    /** Notes how long work takes at the worker now, in percent of the usual time. */
+    fun noteSlowness(percent: Int) = lock.withLock { slownessPercent = percent }
 
     fun configure(settings: LimitSettings) =
-        synchronized(lock) {
+        lock.withLock {
             this.settings = settings
             limit.configure(settings)
         }
 
-    fun makeCold() = synchronized(lock) { limit.makeCold() }
+    fun makeCold() = lock.withLock { limit.makeCold() }
+
+    /** The worker stays cold for [durationMs] and bears [perSecond] requests a second meanwhile. */
+    fun coldFor(durationMs: Long, perSecond: Double) = lock.withLock { pace.cold(clockMs() + durationMs, perSecond) }
 
     /** Refuses every request from now on, those that wait included, for [reason]. */
     fun close(reason: NotRunReason) =
-        synchronized(lock) {
+        lock.withLock {
             closedFor = reason
-            while (waiting.isNotEmpty()) waiting.removeFirst().admission = Admission.Refused(reason)
-            lock.notifyAll()
+            while (waiting.isNotEmpty()) decide(waiting.first(), Admission.Refused(reason))
         }
 
-    fun open() = synchronized(lock) { closedFor = null }
+    fun open() = lock.withLock { closedFor = null }
 
     /** Admits or refuses a request that can wait for at most [patienceMs]. */
-    fun admit(patienceMs: Long, occupancy: Occupancy = Occupancy.SHARED): Admission {
-        synchronized(lock) {
+    fun admit(patienceMs: Long, occupancy: Occupancy = Occupancy.SHARED, rank: RequestRank = RequestRank()): Admission {
+        lock.withLock {
             closedFor?.let { return Admission.Refused(it) }
             if (waiting.isEmpty()) tryAdmit(occupancy)?.let { return it }
             val waitMs = minOf(patienceMs, settings.queueWaitMs)
             if (waitMs <= 0 || waiting.size >= settings.queueLength) return Admission.Refused(NotRunReason.OVERLOADED)
-            return await(Waiter(occupancy), clockMs() + waitMs)
+            return await(Waiter(occupancy, rank, lock.newCondition()), clockMs() + waitMs)
         }
     }
 
     /** Ends an admitted request. */
     fun release(permit: AdmissionLimit.Permit, completion: Completion) =
-        synchronized(lock) {
+        lock.withLock {
             limit.release(permit, completion, clockMs())
             runningAlone = false
             admitWaiting()
         }
 
     private fun await(waiter: Waiter, untilMs: Long): Admission {
-        waiting.addLast(waiter)
+        enqueue(waiter)
         try {
             while (waiter.admission == null) {
-                val remainingMs = untilMs - clockMs()
-                if (remainingMs <= 0) break
-                lock.wait(remainingMs)
+                val nowMs = clockMs()
+                if (untilMs <= nowMs) break
+                waiter.admitted.await(minOf(untilMs - nowMs, paceMs(nowMs)), TimeUnit.MILLISECONDS)
+                if (waiter.admission == null) admitWaiting()
             }
             return waiter.admission ?: Admission.Refused(NotRunReason.QUEUE_TIMEOUT)
         } catch (e: InterruptedException) {
@@ -92,6 +106,14 @@
         }
     }
 
+    private fun enqueue(waiter: Waiter) {
+        val behind = waiting.indexOfFirst { waitingOrder.compare(waiter.rank, it.rank) < 0 }
+        if (behind < 0) waiting.addLast(waiter) else waiting.add(behind, waiter)
+    }
+
+    // A request that only the pace holds back is admitted when the pace allows it, not at a release.
+    private fun paceMs(nowMs: Long): Long = pace.delayMs(nowMs).takeIf { it > 0 } ?: Long.MAX_VALUE
+
     private fun giveBack(admission: Admission?) {
         if (admission is Admission.Admitted) release(admission.permit, Completion.Cancelled)
     }
@@ -99,17 +121,31 @@
     private fun admitWaiting() {
         while (waiting.isNotEmpty()) {
             val next = waiting.first()
-            next.admission = tryAdmit(next.occupancy) ?: break
-            waiting.remove(next)
+            decide(next, tryAdmit(next.occupancy) ?: break)
         }
-        lock.notifyAll()
+    }
+
+    private fun decide(waiter: Waiter, admission: Admission) {
+        waiter.admission = admission
+        waiting.remove(waiter)
+        waiter.admitted.signal()
     }
 
     private fun tryAdmit(occupancy: Occupancy): Admission? {
         if (runningAlone) return null
         if (occupancy == Occupancy.ALONE && limit.load.inFlight > 0) return null
-        val permit = limit.tryAcquire(clockMs()) ?: return null
+        val nowMs = clockMs()
+        if (pace.delayMs(nowMs) > 0) return null
+        val permit = limit.tryAcquire(nowMs) ?: return null
+        pace.sent(nowMs)
         runningAlone = occupancy == Occupancy.ALONE
         return Admission.Admitted(permit)
     }
 }
+
+/**
+ * Calls of other workers go first, because refusing one wastes the work of its parent; then the
+ * higher priority, then requests that were refused before.
+ */
+internal val waitingOrder: Comparator<RequestRank> =
+    compareBy<RequestRank> { !it.nested }.thenBy { it.priority }.thenBy { !it.repeated }
--- a/endivestep/src/main/kotlin/org/endivestep/commands/CommandLine.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/commands/CommandLine.kt
@@ -19,6 +19,7 @@
     val commands =
         listOf(
             DaemonCommand { result = it },
+            PlatformDaemonCommand { result = it },
             CheckCommand { result = it },
             ApplyCommand { result = it },
             GetCommand { result = it },
@@ -62,6 +63,11 @@
     override fun run(): ExitCode = runDaemon(settings)
 }
 
+private class PlatformDaemonCommand(done: (ExitCode) -> Unit) :
+    Command("platform-daemon", "Run a daemon on the users' platform until SIGTERM", done) {
+    override fun run(): ExitCode = runPlatformDaemon()
+}
+
 private class CheckCommand(done: (ExitCode) -> Unit) : Command("check", "Check settings and documents", done) {
     private val settings by option(ArgType.String, description = "Settings file")
     private val document by option(ArgType.String, description = "Configuration document")
--- a/endivestep/src/main/kotlin/org/endivestep/commands/RunDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/commands/RunDaemon.kt
@@ -2,7 +2,10 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.endivestep.daemon.Daemon
+import org.endivestep.daemon.PlatformDaemon
 import org.endivestep.findings.Checked
+import org.endivestep.platform.SETTINGS_VARIABLE
+import org.endivestep.platform.readPlatformSettings
 import org.endivestep.settings.readDaemonSettings
 import sun.misc.Signal
 import java.io.IOException
@@ -18,13 +21,37 @@
             is Checked.Invalid -> return reportFindings(checked.findings, json = false)
             is Checked.Valid -> checked.value
         }
+    return untilStopped {
+        val daemon = Daemon(settings)
+        daemon.start()
+        daemon::stop
+    }
+}
+
+/** Runs a daemon with the settings that the platform has rendered, until SIGTERM or SIGINT. */
+internal fun runPlatformDaemon(): ExitCode {
+    val path = System.getenv(SETTINGS_VARIABLE) ?: return fail(ExitCode.INVALID, "$SETTINGS_VARIABLE is not set")
+    val text = readOrReport(path) ?: return ExitCode.INVALID
+    val settings =
+        when (val checked = readPlatformSettings(path, text)) {
+            is Checked.Invalid -> return reportFindings(checked.findings, json = false)
+            is Checked.Valid -> checked.value
+        }
+    return untilStopped {
+        val daemon = PlatformDaemon(settings)
+        daemon.start()
+        daemon::stop
+    }
+}
+
+// The function that start returns stops the daemon and tells whether everything ended.
+private fun untilStopped(start: () -> () -> Boolean): ExitCode {
     val stop = CountDownLatch(1)
     listOf("TERM", "INT").forEach { Signal.handle(Signal(it)) { stop.countDown() } }
     return try {
-        val daemon = Daemon(settings)
-        daemon.start()
+        val stopDaemon = start()
         stop.await()
-        if (daemon.stop()) ExitCode.SUCCESS else ExitCode.FAILURE
+        if (stopDaemon()) ExitCode.SUCCESS else ExitCode.FAILURE
     } catch (e: IOException) {
         logger.error(e) { "the daemon cannot start" }
         fail(ExitCode.FAILURE, "the daemon cannot start: ${e.message}")
--- a/endivestep/src/main/kotlin/org/endivestep/configuration/ConfigurationAdoption.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/configuration/ConfigurationAdoption.kt
@@ -13,6 +13,9 @@
     val version: ConfigurationVersion get() = ConfigurationVersion(record.version)
 }
 
+/** Reads and checks a document; the first parameter names it in findings. */
+internal typealias DocumentParser = (name: String, text: String) -> Checked<Document>
+
 /** What became of a record that was offered. */
 internal sealed interface Adoption {
     data class Adopted(val configuration: ActiveConfiguration) : Adoption
@@ -32,7 +35,10 @@
  *
  * Records come from the store and from peers, in any order and any number of times. Thread-safe.
  */
-internal class ConfigurationAdoption(private val onAdopted: (ActiveConfiguration) -> Unit = {}) {
+internal class ConfigurationAdoption(
+    private val read: DocumentParser = ::readDocument,
+    private val onAdopted: (ActiveConfiguration) -> Unit = {},
+) {
     @Volatile
     var active: ActiveConfiguration? = null
         private set
@@ -47,7 +53,7 @@
             return if (same) Adoption.NotNewer else Adoption.Conflicting
         }
         if (ConfigurationVersion(record.version) <= version) return Adoption.NotNewer
-        return when (val checked = readDocument("version ${record.version}", record.document)) {
+        return when (val checked = read("version ${record.version}", record.document)) {
             is Checked.Invalid -> Adoption.Unreadable(checked.findings)
             is Checked.Valid -> adopt(ActiveConfiguration(record, checked.value))
         }
--- a/endivestep/src/main/kotlin/org/endivestep/configuration/ConfigurationRelay.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/configuration/ConfigurationRelay.kt
@@ -1,17 +1,12 @@
 package org.endivestep.configuration
 
-import io.github.oshai.kotlinlogging.KotlinLogging
 import org.endivestep.identity.ConfigurationVersion
 import org.endivestep.protocol.v1.ConfigurationRecord
 import org.endivestep.ring.Duty
-import org.endivestep.ring.Ring
 import org.endivestep.settings.Address
 import org.endivestep.store.ObjectStore
 import org.endivestep.store.ObjectVersion
 import org.endivestep.store.ReadResult
-import java.util.concurrent.ConcurrentHashMap
-
-private val logger = KotlinLogging.logger {}
 
 /** Returns a peer's configuration if it is newer than the version given. */
 internal typealias ConfigurationFetch = (Address, ConfigurationVersion) -> ConfigurationRecord?
@@ -26,13 +21,12 @@
     private val store: ObjectStore,
     private val adoption: ConfigurationAdoption,
     private val carriesWatch: () -> Boolean,
-    private val fetch: ConfigurationFetch,
+    fetch: ConfigurationFetch,
     private val clockMs: () -> Long,
 ) {
-    private val fetches = Ring<Address>(RING_CAPACITY)
-    private val queued = ConcurrentHashMap.newKeySet<Address>()
+    private val fetcher = ConfigurationFetcher(adoption, fetch, adoption::offerAndLog)
     private var seen: ObjectVersion? = null
-    private var duties = emptyList<Duty>()
+    private var duty: Duty? = null
 
     /** When the store last answered this daemon, 0 before its first answer. */
     @Volatile
@@ -40,21 +34,17 @@
         private set
 
     fun start() {
-        duties = listOf(Duty.start("configuration-watch", ::watch), Duty.start("configuration-fetch", ::fetchNext))
+        duty = Duty.start("configuration-watch", ::watch)
+        fetcher.start()
     }
 
-    fun stop() = duties.forEach { it.stop() }
-
-    /** Asks for the configuration of [peer], which has said that it has a newer one. */
-    fun fetchFrom(peer: Address) {
-        if (queued.add(peer) && !fetches.offer(peer)) queued.remove(peer)
+    fun stop() {
+        duty?.stop()
+        fetcher.stop()
     }
 
-    private fun fetchNext() {
-        val peer = fetches.poll(POLL_MS) ?: return
-        queued.remove(peer)
-        fetch(peer, adoption.version)?.let(::offer)
-    }
+    /** Asks for the configuration of [peer], which has said that it has a newer one. */
+    fun fetchFrom(peer: Address) = fetcher.fetchFrom(peer)
 
     private fun watch() {
         if (!carriesWatch() && adoption.active != null) {
@@ -65,30 +55,22 @@
             is ReadResult.Found -> {
                 storeAnsweredMs = clockMs()
                 seen = result.stored.version
-                parseRecord(result.stored.bytes)?.let(::offer)
+                parseRecord(result.stored.bytes)?.let(adoption::offerAndLog)
             }
             ReadResult.Absent -> {
                 storeAnsweredMs = clockMs()
                 seen = null
+                // A store answers at once that there is no object, however long the watch may wait.
+                Thread.sleep(ABSENT_PAUSE_MS)
             }
             is ReadResult.Unavailable -> Thread.sleep(UNAVAILABLE_PAUSE_MS)
         }
     }
 
-    private fun offer(record: ConfigurationRecord) {
-        when (val adoption = adoption.offer(record)) {
-            is Adoption.Adopted -> logger.info { "configuration version ${record.version} is in force" }
-            is Adoption.Unreadable -> logger.error { "configuration version ${record.version}: ${adoption.findings}" }
-            Adoption.Conflicting -> logger.error { "two changes claim configuration version ${record.version}" }
-            Adoption.NotNewer -> Unit
-        }
-    }
-
     private companion object {
-        const val RING_CAPACITY = 64
-        const val POLL_MS = 1_000L
         const val WATCH_MS = 20_000L
         const val IDLE_PAUSE_MS = 500L
         const val UNAVAILABLE_PAUSE_MS = 500L
+        const val ABSENT_PAUSE_MS = 500L
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/Daemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/Daemon.kt
@@ -120,7 +120,7 @@
     private val refusedStrangers = AtomicLong()
     private val innerServer =
         innerServer(
-            settings,
+            Address(settings.host, settings.innerPort),
             security.serverInterceptor {
                 refusedStrangers.incrementAndGet()
             },
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/DaemonPools.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/DaemonPools.kt
@@ -13,6 +13,12 @@
     /** Runs attempts of other daemons; a task that finds no thread is rejected. */
     val runners: ExecutorService = growing("egress", MAX_RUNNERS)
 
+    /** Serves callers; a request that finds no thread is rejected. */
+    val callers: ExecutorService = growing("caller", MAX_RUNNERS)
+
+    /** Answers the platform. */
+    val platform: ExecutorService = growing("platform", MAX_PLATFORM)
+
     /** Sends long bodies to other daemons. */
     val uploads: ExecutorService = growing("upload", MAX_UPLOADS)
 
@@ -48,6 +54,7 @@
     private companion object {
         const val MAX_RUNNERS = 400
         const val MAX_UPLOADS = 100
+        const val MAX_PLATFORM = 8
         const val TRANSPORT_THREADS = 4
         const val TRANSPORT_QUEUE = 100_000
         const val CONTROL_QUEUE = 16
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/InnerServer.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/InnerServer.kt
@@ -7,7 +7,7 @@
 import io.grpc.netty.NettyServerBuilder
 import io.netty.channel.nio.NioEventLoopGroup
 import io.netty.channel.socket.nio.NioServerSocketChannel
-import org.endivestep.settings.DaemonSettings
+import org.endivestep.settings.Address
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 
@@ -16,13 +16,13 @@
 
 /** Returns the stopped server that other daemons call. */
 internal fun innerServer(
-    settings: DaemonSettings,
+    address: Address,
     interceptor: ServerInterceptor,
     executors: ServerCallExecutorSupplier,
     services: List<BindableService>,
 ): Server =
     NettyServerBuilder
-        .forAddress(InetSocketAddress(settings.host, settings.innerPort))
+        .forAddress(InetSocketAddress(address.host, address.port))
         .channelType(NioServerSocketChannel::class.java)
         .bossEventLoopGroup(NioEventLoopGroup(1))
         .workerEventLoopGroup(NioEventLoopGroup(EVENT_LOOP_THREADS))
--- /dev/null
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -0,0 +1,351 @@
+package org.endivestep.daemon
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.grpc.BindableService
+import io.netty.channel.nio.NioEventLoopGroup
+import org.endivestep.admission.AdmissionQueue
+import org.endivestep.choice.Candidate
+import org.endivestep.choice.LoadView
+import org.endivestep.choice.Locality
+import org.endivestep.choice.nearestTwoChoices
+import org.endivestep.configuration.ConfigurationAdoption
+import org.endivestep.configuration.ConfigurationFetcher
+import org.endivestep.configuration.DataCentreOverride
+import org.endivestep.configuration.Overrides
+import org.endivestep.configuration.offerAndLog
+import org.endivestep.document.DataCentreState
+import org.endivestep.document.Document
+import org.endivestep.document.LimitSettings
+import org.endivestep.document.QuarantineSettings
+import org.endivestep.document.RetrySettings
+import org.endivestep.document.RouteRule
+import org.endivestep.egress.Announcement
+import org.endivestep.egress.AttemptRegistry
+import org.endivestep.egress.CrashWatch
+import org.endivestep.egress.Egress
+import org.endivestep.egress.HeartbeatOrder
+import org.endivestep.egress.InFlightRequests
+import org.endivestep.egress.WorkerCapacity
+import org.endivestep.egress.WorkerHeartbeat
+import org.endivestep.egress.WorkerRegistry
+import org.endivestep.egress.listensAt
+import org.endivestep.egress.nettyWorkerCall
+import org.endivestep.exchange.AttemptRequest
+import org.endivestep.exchange.monotonicMs
+import org.endivestep.http.HttpConnections
+import org.endivestep.identity.DataCentreName
+import org.endivestep.identity.ServiceName
+import org.endivestep.identity.randomId
+import org.endivestep.ingress.CallerEdge
+import org.endivestep.ingress.Dispatcher
+import org.endivestep.ingress.Route
+import org.endivestep.ingress.RoutedIngress
+import org.endivestep.ingress.WeightedChoice
+import org.endivestep.ingress.routes
+import org.endivestep.membership.DaemonDirectory
+import org.endivestep.membership.Gossip
+import org.endivestep.membership.GossipAction
+import org.endivestep.membership.GossipProtocol
+import org.endivestep.membership.MemberInfo
+import org.endivestep.membership.MemberState
+import org.endivestep.membership.newDaemonIncarnation
+import org.endivestep.metrics.DaemonMetrics
+import org.endivestep.metrics.OutcomeCounters
+import org.endivestep.outcome.AttemptResult
+import org.endivestep.outcome.NotRunReason
+import org.endivestep.platform.DocumentDefaults
+import org.endivestep.platform.OperatorObjects
+import org.endivestep.platform.PlatformSettings
+import org.endivestep.platform.heartbeatEndpoint
+import org.endivestep.platform.platformDialect
+import org.endivestep.platform.platformHeaders
+import org.endivestep.platform.platformStore
+import org.endivestep.platform.readOperatorDocument
+import org.endivestep.platform.readinessEndpoint
+import org.endivestep.platform.versionOf
+import org.endivestep.protocol.ControlClient
+import org.endivestep.protocol.ControlServer
+import org.endivestep.protocol.ExchangeClient
+import org.endivestep.protocol.ExchangeServer
+import org.endivestep.protocol.GossipCodec
+import org.endivestep.protocol.InnerSecurity
+import org.endivestep.protocol.PeerChannels
+import org.endivestep.protocol.executorOfCalls
+import org.endivestep.protocol.toInfo
+import org.endivestep.protocol.v1.ChangeEntry
+import org.endivestep.protocol.v1.ConfigurationRecord
+import org.endivestep.quarantine.Quarantine
+import org.endivestep.settings.Address
+import org.endivestep.store.CollectionEvent
+import org.endivestep.store.CollectionFollower
+import org.endivestep.store.CollectionItem
+import org.endivestep.store.CollectionListener
+import org.endivestep.store.CollectionName
+import org.endivestep.store.ListedCollection
+import org.endivestep.store.StoreRevision
+import java.net.DatagramSocket
+import java.net.InetAddress
+import java.util.concurrent.TimeUnit
+import java.util.random.RandomGenerator
+
+private val logger = KotlinLogging.logger {}
+
+private const val LOST_KEPT_MS = 2_000L
+private const val FENCE_KEPT_MS = 120_000L
+private const val STORE_TIMEOUT_MS = 1_000L
+private const val CONNECT_TIMEOUT_MS = 500
+private const val EVENT_LOOP_THREADS = 2
+private val unlimited = LimitSettings(1, 1, 0, Double.MAX_VALUE, QUEUE_LENGTH, QUEUE_WAIT_MS)
+private const val QUEUE_LENGTH = 64
+private const val QUEUE_WAIT_MS = 400L
+private val quarantineSettings = QuarantineSettings(deaths = 2, durationMs = 60_000)
+
+/** A daemon on the users' platform: the product's parts, joined to the platform's messages and store. */
+internal class PlatformDaemon(private val settings: PlatformSettings) {
+    private val inner = Address(settings.host, settings.ports.first)
+    private val metrics = DaemonMetrics()
+    private val counters = OutcomeCounters(metrics.registry)
+    private val random = RandomGenerator.of("L64X128MixRandom")
+    private val pools = DaemonPools()
+    private val loops = NioEventLoopGroup(EVENT_LOOP_THREADS)
+    private val connections = HttpConnections(loops, CONNECT_TIMEOUT_MS)
+    private val security = InnerSecurity("endivestep at ${settings.store}")
+    private val store = platformStore(settings.store, connections, STORE_TIMEOUT_MS)
+    private val overrides: Overrides = Overrides(System::currentTimeMillis) { follower.overridden() }
+    private val adoption: ConfigurationAdoption =
+        ConfigurationAdoption({ name, text -> readOperatorDocument(name, text, documentDefaults()) }) { follower.adopted(it) }
+    private val workers = WorkerRegistry()
+    private val heartbeats = HeartbeatOrder()
+    private val admission = AdmissionQueue(unlimited, ::monotonicMs)
+    private val quarantine = Quarantine(quarantineSettings, ::monotonicMs)
+    private val inFlight = InFlightRequests(LOST_KEPT_MS, ::monotonicMs)
+    private val crashes = CrashWatch(quarantine, inFlight, workers, ::listensAt) { supervision.died(it) }
+    private val attempts = AttemptRegistry({ FENCE_KEPT_MS }, ::monotonicMs)
+    private val egress =
+        Egress(
+            settings.dataCentre,
+            ::document,
+            admission,
+            workers,
+            attempts,
+            crashes,
+            nettyWorkerCall(connections, platformHeaders),
+            platformDialect,
+        )
+    private val channels = PeerChannels(security)
+    private val exchanges = ExchangeClient(channels, pools.uploads)
+    private val control = ControlClient(channels)
+    private val protocol = GossipProtocol(firstStatement(), random, overrides = overrides::entries) { adoption.version }
+    private val gossip: Gossip = Gossip(protocol, GossipCodec(security), udpSocket(), ::monotonicMs, ::carryOut)
+    private val supervision: WorkerSupervision = WorkerSupervision(workers, admission, crashes, inFlight, gossip, ::document)
+    private val follower: ConfigurationFollower =
+        ConfigurationFollower(settings.dataCentre, overrides, quarantine, supervision, admission, gossip)
+    private val fetcher = ConfigurationFetcher(adoption, control::fetchConfiguration, adoption::offerAndLog)
+    private val directory = DaemonDirectory(store, gossip, random, ::synchronizeWith)
+    private val configurations =
+        CollectionFollower(
+            store,
+            CollectionName(OperatorObjects.CONFIGURATION),
+            random,
+            CollectionListener({ listed -> listed.items.forEach(::offer) }, { if (!it.deleted) offer(it.item) }),
+        )
+    private val evacuations =
+        CollectionFollower(
+            store,
+            CollectionName(OperatorObjects.EVACUATIONS),
+            random,
+            CollectionListener(::evacuationsListed, ::evacuationChanged),
+        )
+    private val loads = LoadView(::monotonicMs)
+    private val dispatcher = Dispatcher(::routesOf, loads, ::choose, ::attempt)
+    private val ingress =
+        RoutedIngress(
+            settings.service,
+            platformHeaders,
+            ::document,
+            WeightedChoice(random),
+            dispatcher::dispatch,
+            ::returnTimeMs,
+            counters,
+        )
+    private val innerServer =
+        innerServer(inner, security.serverInterceptor { }, executorOfCalls(pools.transport), innerServices())
+    private val callers = CallerEdge(settings.callers, loops, pools.callers, ::callerLimits, ingress::answer)
+    private val readiness =
+        CallerEdge(settings.readiness, loops, pools.platform, ::callerLimits, readinessEndpoint(::isReady))
+    private val heartbeatListener =
+        CallerEdge(settings.heartbeats, loops, pools.platform, ::callerLimits, heartbeatEndpoint(::heard))
+
+    @Volatile
+    private var stopping = false
+
+    /** Starts all parts. Throws [java.io.IOException] when a port is taken. */
+    fun start() {
+        heartbeatListener.start()
+        readiness.start()
+        innerServer.start()
+        gossip.start()
+        configurations.start()
+        evacuations.start()
+        directory.start()
+        fetcher.start()
+        callers.start()
+        logger.info { "daemon ${settings.vm.text} serves callers at ${settings.callers}" }
+    }
+
+    /**
+     * Stops without cutting a request in flight: tells the platform and peers, serves what still
+     * comes until they have taken notice, and waits for what is in flight. Returns whether all ended.
+     */
+    fun stop(): Boolean {
+        val startMs = monotonicMs()
+        stopping = true
+        logger.info { "daemon ${settings.vm.text} is leaving" }
+        gossip.stateSelf { it.copy(worker = it.worker?.copy(serving = false)) }
+        Thread.sleep(NOTICE_MS)
+        callers.closeAfterAnswers()
+        egress.stop()
+        val drained = awaitIdle(startMs + settings.bounds.stopMs - STOP_MARGIN_MS)
+        gossip.stateSelf { it.copy(state = MemberState.LEFT) }
+        Thread.sleep(LEFT_SPREAD_MS)
+        logger.info { "daemon ${settings.vm.text} has left; drained: $drained" }
+        return drained
+    }
+
+    private fun awaitIdle(untilMs: Long): Boolean {
+        while (monotonicMs() < untilMs) {
+            if (ingress.activeCount == 0 && inFlight.count == 0 && callers.connectionCount == 0) return true
+            Thread.sleep(IDLE_CHECK_MS)
+        }
+        return ingress.activeCount == 0 && inFlight.count == 0
+    }
+
+    private fun isReady(): Boolean = !stopping && adoption.active != null
+
+    private fun document(): Document? = overrides.document
+
+    private fun callerLimits() = document()?.callers ?: defaultCallerLimits
+
+    private fun documentDefaults() =
+        DocumentDefaults(
+            settings.dataCentres,
+            unlimited,
+            RetrySettings(settings.bounds.retryRatio / 2, RETRY_RESERVE, MAX_ATTEMPTS),
+        )
+
+    private fun heard(heartbeat: WorkerHeartbeat?) {
+        if (heartbeat == null) {
+            logger.warn { "a heartbeat could not be read" }
+            return
+        }
+        if (heartbeat.service != null && heartbeat.service != settings.service) {
+            logger.warn { "a heartbeat names service ${heartbeat.service.text} in place of ${settings.service.text}" }
+            return
+        }
+        val news = synchronized(heartbeats) { heartbeats.isNews(heartbeat) }
+        if (!news) return
+        val known = workers.worker?.announcement
+        val slots = if (heartbeat.service == null) known?.capacity?.slots ?: 0 else heartbeat.slots
+        val startedMs = if (heartbeat.startedMs == 0L) known?.capacity?.startedMs ?: 0 else heartbeat.startedMs
+        supervision.announce(
+            Announcement(settings.service, settings.worker, heartbeat.incarnation, heartbeat.leaving, WorkerCapacity(slots, startedMs)),
+        )
+        supervision.cold(heartbeat.coldMs)
+    }
+
+    private fun offer(item: CollectionItem) {
+        if (item.name != OperatorObjects.CONFIGURATION_NAME) return
+        val version = versionOf(item.text)
+        if (version == null) {
+            logger.error { "the configuration at revision ${item.revision.number} has no version" }
+            return
+        }
+        val change = ChangeEntry.newBuilder().setChangeId("version $version")
+        adoption.offerAndLog(ConfigurationRecord.newBuilder().setVersion(version).setDocument(item.text).setChange(change).build())
+    }
+
+    private fun evacuationsListed(listed: ListedCollection.Items) {
+        val out = listed.items.map { stateOf(it.name, DataCentreState.OUT, it.revision) }
+        val names = listed.items.map { it.name }.toSet()
+        val returned = overrides.entries.filter { it.state == DataCentreState.OUT && it.dataCentre.text !in names }
+        overrides.merge(out + returned.map { stateOf(it.dataCentre.text, DataCentreState.IN, listed.revision) })
+    }
+
+    private fun evacuationChanged(event: CollectionEvent) {
+        val state = if (event.deleted) DataCentreState.IN else DataCentreState.OUT
+        overrides.merge(listOf(stateOf(event.item.name, state, event.item.revision)))
+    }
+
+    // The store's revision orders the states of a data centre, in place of a time.
+    private fun stateOf(dataCentre: String, state: DataCentreState, revision: StoreRevision) =
+        DataCentreOverride(DataCentreName(dataCentre), state, "revision ${revision.number} ${state.text}", "operator", revision.number)
+
+    private fun returnTimeMs(rule: RouteRule?, reason: NotRunReason, remainingMs: Long): Long {
+        val usual = if (reason == NotRunReason.OVERLOADED) OVERLOADED_RETURN_MS else USUAL_RETURN_MS
+        val longest = (remainingMs / LONGEST_RETURN_PARTS).coerceAtLeast(1)
+        return minOf(usual + random.nextLong(usual), longest)
+    }
+
+    private fun routesOf(service: ServiceName): List<Route> {
+        val current = document() ?: return emptyList()
+        return routes(gossip.members, current, service, settings.vm)
+    }
+
+    private fun choose(candidates: List<Candidate>): Candidate {
+        val region = settings.dataCentres[settings.dataCentre].orEmpty()
+        return nearestTwoChoices(Locality(settings.dataCentre, region), random, loads)(candidates)
+    }
+
+    private fun attempt(route: Route, request: AttemptRequest): AttemptResult =
+        if (route.isLocal) egress.run(request) { } else exchanges.attempt(route.peer, request)
+
+    private fun carryOut(action: GossipAction) {
+        when (action) {
+            is GossipAction.Synchronize -> pools.submitControl { synchronizeWith(action.peer) }
+            is GossipAction.FetchConfiguration -> fetcher.fetchFrom(action.peer)
+            is GossipAction.Suspicions -> crashes.merge(action.entries)
+            is GossipAction.Overrides -> overrides.merge(action.entries)
+            is GossipAction.Send -> error("datagrams are sent by the gossip duty")
+        }
+    }
+
+    private fun synchronizeWith(peer: Address) {
+        val state = control.synchronize(peer, gossip.members, gossip.self) ?: return
+        gossip.mergeAll(state.membersList.mapNotNull { it.toInfo() })
+    }
+
+    private fun innerServices(): List<BindableService> =
+        listOf(
+            ExchangeServer(egress, { gossip.self.incarnation }, pools.runners),
+            ControlServer(gossip, adoption, counters, overrides::entries),
+        )
+
+    private fun udpSocket() = DatagramSocket(inner.port, InetAddress.getByName(inner.host))
+
+    private fun firstStatement() =
+        MemberInfo(
+            vm = settings.vm,
+            inner = inner,
+            adminPort = 0,
+            dataCentre = settings.dataCentre,
+            incarnation = newDaemonIncarnation(System.currentTimeMillis(), randomId()),
+            sequence = 1,
+            state = MemberState.ALIVE,
+            worker = null,
+        )
+
+    private companion object {
+        val defaultCallerLimits = org.endivestep.document.CallerLimits()
+
+        // The platform takes a daemon out after two questions, which it asks every second.
+        const val NOTICE_MS = 2_400L
+        const val STOP_MARGIN_MS = 900L
+        const val LEFT_SPREAD_MS = 200L
+        const val IDLE_CHECK_MS = 20L
+        const val RETRY_RESERVE = 2
+        const val MAX_ATTEMPTS = 3
+        const val OVERLOADED_RETURN_MS = 250L
+        const val USUAL_RETURN_MS = 100L
+        const val LONGEST_RETURN_PARTS = 4
+    }
+}
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/WorkerSupervision.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/WorkerSupervision.kt
@@ -3,11 +3,13 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.endivestep.admission.AdmissionQueue
 import org.endivestep.document.Document
+import org.endivestep.document.LimitSettings
 import org.endivestep.egress.Announcement
 import org.endivestep.egress.AnnouncementEffect
 import org.endivestep.egress.CrashWatch
 import org.endivestep.egress.InFlightRequests
 import org.endivestep.egress.LocalWorker
+import org.endivestep.egress.WorkerCapacity
 import org.endivestep.egress.WorkerPhase
 import org.endivestep.egress.WorkerRegistry
 import org.endivestep.membership.Gossip
@@ -28,7 +30,15 @@
     /** Applies the limits that [document] gives the worker's service. */
     fun configure(document: Document) {
         val service = workers.worker?.announcement?.service ?: return
-        document.services[service]?.let { admission.configure(it.limits) }
+        val capacity = workers.worker?.announcement?.capacity
+        document.services[service]?.let { admission.configure(it.limits.within(capacity)) }
+    }
+
+    /** Takes in that the worker is cold for another [coldMs]. */
+    fun cold(coldMs: Long) {
+        val service = workers.worker?.announcement?.service ?: return
+        val rate = document()?.services?.get(service)?.coldRate ?: return
+        admission.coldFor(coldMs, rate.perSecond)
     }
 
     /** Takes in what the worker says of itself; returns its requests in flight. */
@@ -48,6 +58,13 @@
         return inFlight.count
     }
 
+    // Work takes longer on a worker that is nearly full, so some slots stay free.
+    private fun LimitSettings.within(capacity: WorkerCapacity?): LimitSettings {
+        if (capacity == null) return this
+        val usable = (capacity.slots * USABLE_SHARE).toInt().coerceAtLeast(1)
+        return copy(cold = usable, max = usable)
+    }
+
     private fun workerStarted(worker: LocalWorker) {
         logger.info { "worker ${worker.announcement.incarnation.text} of ${worker.announcement.service.text} started" }
         document()?.let(::configure)
@@ -72,4 +89,8 @@
     fun gone(worker: LocalWorker) {
         if (workers.died(worker.announcement.incarnation) != null) died(emptyList())
     }
+
+    private companion object {
+        const val USABLE_SHARE = 0.8
+    }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/document/Document.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/document/Document.kt
@@ -9,6 +9,8 @@
     val dataCentres: Map<DataCentreName, DataCentre>,
     val services: Map<ServiceName, Service>,
     val quarantine: QuarantineSettings,
+    val routes: RouteTable = RouteTable(emptyList()),
+    val callers: CallerLimits = CallerLimits(),
 ) {
     fun isIn(dataCentre: DataCentreName): Boolean = dataCentres[dataCentre]?.state == DataCentreState.IN
 }
@@ -30,6 +32,18 @@
     val shedStatus: Int?,
     val echoesRequestId: Boolean,
     val kinds: List<Kind>,
+    val coldRate: ColdRate? = null,
+)
+
+/** What a worker bears while it is cold: [perSecond] requests a second, for [durationMs] after its start. */
+internal data class ColdRate(val perSecond: Double, val durationMs: Long)
+
+/** What one caller may send, in bytes, and how long its connection may stay idle, in ms. */
+internal data class CallerLimits(
+    val headerBytes: Int = 16_384,
+    val bodyBytes: Long = 67_108_864,
+    val headerTimeoutMs: Long = 10_000,
+    val idleTimeoutMs: Long = 60_000,
 )
 
 /** Bounds of the number of requests that a worker may have in flight. */
--- a/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
@@ -11,10 +11,8 @@
 import org.endivestep.exchange.monotonicMs
 import org.endivestep.identity.AttemptId
 import org.endivestep.identity.DataCentreName
-import org.endivestep.outcome.AnswerHead
 import org.endivestep.outcome.AttemptResult
 import org.endivestep.outcome.NotRunReason
-import org.endivestep.outcome.OutcomeHeaders
 import org.endivestep.outcome.UnknownReason
 import org.endivestep.quarantine.Standing
 
@@ -33,6 +31,7 @@
     private val attempts: AttemptRegistry,
     private val crashes: CrashWatch,
     private val call: WorkerCall,
+    private val dialect: WorkerDialect = dialectOfService,
 ) {
     @Volatile
     private var stopping = false
@@ -63,7 +62,7 @@
         val standing = crashes.standing(request.fingerprint)
         if (standing == Standing.QUARANTINED) return refuse(NotRunReason.QUARANTINED)
         val occupancy = if (standing == Standing.LONE_SUSPECT) Occupancy.ALONE else Occupancy.SHARED
-        return when (val decision = admission.admit(patienceMs(request), occupancy)) {
+        return when (val decision = admission.admit(patienceMs(request), occupancy, request.rank)) {
             is Admission.Refused -> refuse(decision.reason)
             is Admission.Admitted -> runAdmitted(request, service, checkNotNull(worker), decision.permit, onAdmitted)
         }
@@ -122,7 +121,7 @@
     private fun callWorker(run: EgressRun, worker: LocalWorker): WorkerResult {
         var result: WorkerResult? = null
         try {
-            result = call(worker.announcement.address, run.request)
+            result = call(worker, run.request)
             return result
         } finally {
             if (result == null) run.end(Completion.Cancelled, connectionLost = false)
@@ -142,8 +141,9 @@
     private fun answered(run: EgressRun, service: Service, result: WorkerResult.Answered): AttemptResult {
         lastTrafficMs = monotonicMs()
         val head = result.head
-        val echoed = head.header(OutcomeHeaders.REQUEST_ID)
-        if (service.echoesRequestId && echoed != run.request.requestId.text) {
+        dialect.slownessPercent(head)?.let(admission::noteSlowness)
+        val verdict = dialect.judge(service, run.request, head)
+        if (verdict is AnswerVerdict.Mismatched) {
             result.abort()
             run.end(Completion.Failed, connectionLost = false)
             return AttemptResult.Unknown(UnknownReason.MISMATCHED_ANSWER, admission.load)
@@ -153,10 +153,10 @@
             run.end(Completion.Cancelled, connectionLost = false)
             return AttemptResult.Unknown(UnknownReason.UNDELIMITED_ANSWER, admission.load)
         }
-        if (head.status == service.shedStatus) {
+        if (verdict is AnswerVerdict.NotRun) {
             result.abort()
             run.end(Completion.Shed, connectionLost = false)
-            return AttemptResult.NotRun(NotRunReason.WORKER_SHED, admission.load, final = forbidsRetry(head))
+            return AttemptResult.NotRun(verdict.reason, admission.load, verdict.final)
         }
         val latencyMs = run.elapsedMs()
         val completion = if (head.status >= FIRST_SERVER_ERROR) Completion.Failed else Completion.Answered(latencyMs)
@@ -164,8 +164,6 @@
         return AttemptResult.Answered(head, body, admission.load)
     }
 
-    private fun forbidsRetry(head: AnswerHead): Boolean = head.header(OutcomeHeaders.RETRY) == "no"
-
     private fun giveBack(permit: AdmissionLimit.Permit, reason: NotRunReason): AttemptResult {
         admission.release(permit, Completion.Cancelled)
         return refuse(reason)
--- a/endivestep/src/main/kotlin/org/endivestep/egress/JettyWorkerCall.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/JettyWorkerCall.kt
@@ -37,7 +37,7 @@
     client.start()
     client.contentDecoderFactories.clear()
     client.protocolHandlers.clear()
-    return { worker, request -> JettyExchange(client, worker, request).run() }
+    return { worker, request -> JettyExchange(client, worker.announcement.address, request).run() }
 }
 
 private class JettyExchange(client: HttpClient, worker: Address, private val attempt: AttemptRequest) {
--- /dev/null
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/WorkerCallOverNetty.kt
@@ -0,0 +1,116 @@
+package org.endivestep.egress
+
+import io.netty.handler.codec.http.DefaultHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpVersion
+import org.endivestep.exchange.AttemptRequest
+import org.endivestep.exchange.MessageHeaders
+import org.endivestep.exchange.RequestBody
+import org.endivestep.exchange.forwarded
+import org.endivestep.exchange.monotonicMs
+import org.endivestep.http.HttpArrival
+import org.endivestep.http.HttpConnection
+import org.endivestep.http.HttpConnections
+import org.endivestep.outcome.AnswerHead
+import java.io.ByteArrayInputStream
+import java.io.IOException
+import java.io.SequenceInputStream
+
+/**
+ * Returns a client for workers that know a request by [headers].
+ *
+ * An answer with the id of another request is passed over, because workers may answer a request
+ * twice. Jetty's client ends the connection at such an answer, which would lose the one that is due.
+ */
+internal fun nettyWorkerCall(connections: HttpConnections, headers: MessageHeaders): WorkerCall =
+    { worker, request -> WorkerExchange(connections, headers, worker, request).run() }
+
+private class WorkerExchange(
+    private val connections: HttpConnections,
+    private val headers: MessageHeaders,
+    private val worker: LocalWorker,
+    private val attempt: AttemptRequest,
+) {
+    private val address = worker.announcement.address
+
+    fun run(): WorkerResult {
+        val connection =
+            try {
+                connections.lease(address)
+            } catch (e: IOException) {
+                return WorkerResult.NotSent(e.toString())
+            } catch (_: InterruptedException) {
+                return WorkerResult.Cancelled
+            }
+        return try {
+            exchange(connection)
+        } catch (_: InterruptedException) {
+            connection.close()
+            WorkerResult.Cancelled
+        } catch (e: IOException) {
+            connection.close()
+            WorkerResult.Failed(e.toString(), timedOut = false)
+        }
+    }
+
+    private fun exchange(connection: HttpConnection): WorkerResult {
+        connection.begin(::isOurs)
+        connection.send(head(), attempt.body)
+        return when (val arrival = connection.next(remainingMs())) {
+            is HttpArrival.Head -> answered(connection, arrival.head)
+            HttpArrival.Late -> {
+                connection.close()
+                WorkerResult.Failed("no answer before the deadline", timedOut = true)
+            }
+            is HttpArrival.Failed -> WorkerResult.Failed(arrival.cause, timedOut = false)
+            else -> {
+                connection.close()
+                WorkerResult.Failed("an answer without a head", timedOut = false)
+            }
+        }
+    }
+
+    private fun isOurs(head: AnswerHead): Boolean = head.header(headers.requestId)?.let { it == attempt.requestId.text } ?: true
+
+    private fun answered(connection: HttpConnection, head: AnswerHead): WorkerResult {
+        val body = AnswerReader(connection, ::remainingMs) { connections.giveBack(address, connection) }
+        if ((head.contentLength ?: 0) > MAX_HELD_BYTES) return WorkerResult.Answered(head, body, connection::close)
+        return held(body.readNBytes(MAX_HELD_BYTES + 1), connection, head, body)
+    }
+
+    // A short answer is read to its end first, so that a cut is known before anything is passed on.
+    private fun held(start: ByteArray, connection: HttpConnection, head: AnswerHead, rest: AnswerReader): WorkerResult =
+        if (start.size <= MAX_HELD_BYTES) {
+            WorkerResult.Answered(head.withLength(start.size), ByteArrayInputStream(start)) { }
+        } else {
+            WorkerResult.Answered(head, SequenceInputStream(ByteArrayInputStream(start), rest), connection::close)
+        }
+
+    private fun head(): HttpRequest {
+        val head = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(attempt.method), attempt.path)
+        attempt.headers.forwarded().forEach { head.headers().add(it.name, it.value) }
+        head.headers().set(headers.requestId, attempt.requestId.text)
+        head.headers().set(headers.deadlineMs, remainingMs().toString())
+        head.headers().set(headers.expectedWorker, worker.announcement.incarnation.text)
+        when (val body = attempt.body) {
+            is RequestBody.Inline -> if (body.bytes.isNotEmpty() || isBodied()) setLength(head, body.bytes.size.toLong())
+            is RequestBody.Streamed -> if (body.length >= 0) setLength(head, body.length) else setChunked(head)
+        }
+        return head
+    }
+
+    private fun isBodied(): Boolean = attempt.method != "GET" && attempt.method != "HEAD" && attempt.method != "DELETE"
+
+    private fun setLength(head: HttpRequest, length: Long) = head.headers().set(HttpHeaderNames.CONTENT_LENGTH, length.toString())
+
+    private fun setChunked(head: HttpRequest) = head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+
+    private fun remainingMs(): Long = attempt.deadline.remainingMs(monotonicMs()).coerceAtLeast(1)
+
+    private companion object {
+        const val MAX_HELD_BYTES = 65_536
+    }
+}
--- a/endivestep/src/main/kotlin/org/endivestep/egress/WorkerRegistry.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/WorkerRegistry.kt
@@ -5,7 +5,16 @@
 import org.endivestep.settings.Address
 
 /** What a worker says of itself when it announces itself to its daemon. */
-internal data class Announcement(val service: ServiceName, val address: Address, val incarnation: WorkerIncarnation, val leaving: Boolean)
+internal data class Announcement(
+    val service: ServiceName,
+    val address: Address,
+    val incarnation: WorkerIncarnation,
+    val leaving: Boolean,
+    val capacity: WorkerCapacity? = null,
+)
+
+/** Requests that a worker runs at the same time, and when it started on its own clock, in ms. */
+internal data class WorkerCapacity(val slots: Int, val startedMs: Long)
 
 /** Life of the worker beside this daemon. */
 internal enum class WorkerPhase { SERVING, LEAVING, DIED }
@@ -35,7 +44,7 @@
     fun announce(announcement: Announcement): AnnouncementEffect {
         val before = worker
         val phase = if (announcement.leaving) WorkerPhase.LEAVING else WorkerPhase.SERVING
-        val same = before?.announcement?.incarnation == announcement.incarnation
+        val same = before != null && isSameRun(before.announcement, announcement)
         // A worker that said that it leaves does not come back in the same run.
         if (same && before?.phase == WorkerPhase.LEAVING) return AnnouncementEffect.Unchanged
         if (same && before?.phase == phase && before.announcement == announcement) return AnnouncementEffect.Unchanged
@@ -48,6 +57,10 @@
         }
     }
 
+    // A worker may start again under the incarnation that it had.
+    private fun isSameRun(before: Announcement, after: Announcement): Boolean =
+        before.incarnation == after.incarnation && before.capacity?.startedMs == after.capacity?.startedMs
+
     /** Notes that [incarnation] is gone; returns the worker when it was thought to serve or leave. */
     @Synchronized
     fun died(incarnation: WorkerIncarnation): LocalWorker? {
--- a/endivestep/src/main/kotlin/org/endivestep/egress/WorkerResult.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/WorkerResult.kt
@@ -2,7 +2,6 @@
 
 import org.endivestep.exchange.AttemptRequest
 import org.endivestep.outcome.AnswerHead
-import org.endivestep.settings.Address
 import java.io.InputStream
 
 /** Result of one request to the worker over loopback. */
@@ -20,5 +19,5 @@
     data object Cancelled : WorkerResult
 }
 
-/** Sends [AttemptRequest]s to the worker at an address. */
-internal typealias WorkerCall = (worker: Address, request: AttemptRequest) -> WorkerResult
+/** Sends one request to a worker and waits for the start of its answer. */
+internal typealias WorkerCall = (worker: LocalWorker, request: AttemptRequest) -> WorkerResult
--- a/endivestep/src/main/kotlin/org/endivestep/exchange/AttemptRequest.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/exchange/AttemptRequest.kt
@@ -31,4 +31,5 @@
     val body: RequestBody,
     val deadline: Deadline,
     val fingerprint: Fingerprint,
+    val rank: RequestRank = RequestRank(),
 )
--- /dev/null
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/CallerConnection.kt
@@ -0,0 +1,181 @@
+package org.endivestep.ingress
+
+import io.netty.buffer.ByteBufUtil
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+import org.endivestep.document.CallerLimits
+import org.endivestep.exchange.RequestBody
+import org.endivestep.exchange.monotonicMs
+import org.endivestep.outcome.HeaderField
+import java.util.concurrent.Executor
+import java.util.concurrent.RejectedExecutionException
+
+/**
+ * One connection of a caller: one exchange at a time, in order.
+ *
+ * A body up to [MAX_COLLECTED_BYTES] is read whole before the handler starts, so that no thread waits
+ * for a slow caller; a longer one is handed over as a stream.
+ */
+internal class CallerConnection(
+    private val runners: Executor,
+    private val limits: () -> CallerLimits,
+    private val isClosing: () -> Boolean,
+    private val handler: RequestHandler,
+) : ChannelInboundHandlerAdapter() {
+    private val waiting = ArrayDeque<Any>()
+    private var receiving: ReceivedRequest? = null
+    private var running: ServedRequest? = null
+
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        // A caller may send the next request before the answer to the last one has ended.
+        if (running != null && receiving == null) {
+            waiting.addLast(message)
+            return
+        }
+        take(context, message)
+    }
+
+    private fun take(context: ChannelHandlerContext, message: Any) {
+        try {
+            if (message is HttpRequest) begin(context, message)
+            if (message is HttpContent) takeContent(context, message)
+        } finally {
+            ReferenceCountUtil.release(message)
+        }
+    }
+
+    private fun begin(context: ChannelHandlerContext, request: HttpRequest) {
+        val length = HttpUtil.getContentLength(request, 0L)
+        when {
+            !request.decoderResult().isSuccess -> refuse(context, HttpResponseStatus.BAD_REQUEST)
+            length > limits().bodyBytes -> refuse(context, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+            else -> {
+                if (HttpUtil.is100ContinueExpected(request)) context.writeAndFlush(continueResponse())
+                receiving = ReceivedRequest(request, HttpUtil.getContentLength(request, -1L), limits().bodyBytes)
+            }
+        }
+    }
+
+    private fun takeContent(context: ChannelHandlerContext, content: HttpContent) {
+        val request = receiving ?: return
+        if (!content.decoderResult().isSuccess) {
+            request.breakOff("the body cannot be read")
+            refuse(context, HttpResponseStatus.BAD_REQUEST)
+            return
+        }
+        val ended = content is LastHttpContent
+        if (ended) receiving = null
+        val bytes = ByteBufUtil.getBytes(content.content())
+        when (request.add(bytes, ended)) {
+            ReceivedRequest.Step.INCOMPLETE -> Unit
+            ReceivedRequest.Step.START -> start(context, request)
+            ReceivedRequest.Step.TOO_LONG -> refuse(context, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+        }
+    }
+
+    private fun start(context: ChannelHandlerContext, request: ReceivedRequest) {
+        request.onFlow { pause -> context.channel().config().isAutoRead = !pause }
+        val served = ServedRequest(context.channel(), request, handler, isClosing) { context.executor().execute { ended(context) } }
+        running = served
+        try {
+            runners.execute(served)
+        } catch (_: RejectedExecutionException) {
+            served.reject()
+        }
+    }
+
+    private fun ended(context: ChannelHandlerContext) {
+        running = null
+        if (!context.channel().isActive) return
+        if (receiving != null) {
+            // The answer came before the end of the body, whose rest belongs to no other request.
+            context.close()
+            return
+        }
+        if (isClosing() && waiting.isEmpty()) context.close()
+        while (waiting.isNotEmpty() && (running == null || receiving != null)) take(context, waiting.removeFirst())
+    }
+
+    private fun refuse(context: ChannelHandlerContext, status: HttpResponseStatus) {
+        receiving = null
+        context.writeAndFlush(closingResponse(status)).addListener { context.close() }
+    }
+
+    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+        if (event !== CloseWhenIdle) {
+            super.userEventTriggered(context, event)
+        } else if (running == null && receiving == null) {
+            context.close()
+        }
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        receiving?.breakOff("the caller closed its connection")
+        running?.cancel()
+        waiting.forEach { ReferenceCountUtil.release(it) }
+        waiting.clear()
+        super.channelInactive(context)
+    }
+
+    @Deprecated("Deprecated in Java")
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        context.close()
+    }
+}
+
+/** Greatest body in bytes that is read whole before its request is handled. */
+internal const val MAX_COLLECTED_BYTES = 524_288
+
+/** A request whose body is still being received. Called by the thread of its connection. */
+internal class ReceivedRequest(private val head: HttpRequest, private val length: Long, private val maxBytes: Long) {
+    enum class Step { INCOMPLETE, START, TOO_LONG }
+
+    private val arrivedMs = monotonicMs()
+    private val collected = java.io.ByteArrayOutputStream()
+    private var stream: BodyQueue? = null
+    private var total = 0L
+
+    /** Takes the next [bytes]; tells when the request can be handled. */
+    fun add(bytes: ByteArray, ended: Boolean): Step {
+        total += bytes.size
+        if (total > maxBytes) return tooLong()
+        val current = stream
+        if (current != null) {
+            current.put(bytes, ended)
+            return Step.INCOMPLETE
+        }
+        collected.write(bytes)
+        if (ended) return Step.START
+        if (collected.size() <= MAX_COLLECTED_BYTES) return Step.INCOMPLETE
+        stream = BodyQueue().also { it.put(collected.toByteArray(), ended = false) }
+        return Step.START
+    }
+
+    private fun tooLong(): Step {
+        breakOff("the body is too long")
+        return Step.TOO_LONG
+    }
+
+    fun breakOff(cause: String) {
+        stream?.breakOff(cause)
+    }
+
+    /** Sets what is told to pause and resume the caller, true for pause. */
+    fun onFlow(pause: (Boolean) -> Unit) {
+        stream?.onFlow = pause
+    }
+
+    val keepsAlive: Boolean get() = HttpUtil.isKeepAlive(head)
+
+    fun toRequest(): CallerRequest {
+        val streamed = stream
+        val body = if (streamed == null) RequestBody.Inline(collected.toByteArray()) else RequestBody.Streamed(UnreadStream(streamed), length)
+        return CallerRequest(head.method().name(), head.uri(), head.headers().map { HeaderField(it.key, it.value) }, body, arrivedMs)
+    }
+}
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
@@ -51,7 +51,7 @@
             idempotent = call.kind.idempotent,
             replayable = call.replayable,
             attempts = history.count,
-            maxAttempts = call.service.retry.maxAttempts,
+            maxAttempts = call.maxAttempts,
             remainingMs = call.deadline.remainingMs(monotonicMs()),
         )
 
@@ -103,6 +103,7 @@
             body = call.body,
             deadline = call.deadline,
             fingerprint = call.fingerprint,
+            rank = call.rank,
         )
 
     private fun <T> withBudget(call: IncomingCall, use: (RetryBudget) -> T): T =
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/IncomingCall.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/IncomingCall.kt
@@ -7,6 +7,7 @@
 import org.endivestep.exchange.Deadline
 import org.endivestep.exchange.MAX_INLINE_BODY_BYTES
 import org.endivestep.exchange.RequestBody
+import org.endivestep.exchange.RequestRank
 import org.endivestep.exchange.readWhole
 import org.endivestep.identity.Fingerprint
 import org.endivestep.identity.RequestId
@@ -37,6 +38,8 @@
     val deadline: Deadline,
     val idempotencyKey: String?,
     val fingerprint: Fingerprint,
+    val maxAttempts: Int = service.retry.maxAttempts,
+    val rank: RequestRank = RequestRank(),
 ) {
     /** Whether the body can be sent from its beginning. */
     val replayable: Boolean get() = (body as? RequestBody.Streamed)?.let { !(it.stream as UnreadStream).touched } ?: true
--- /dev/null
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
@@ -0,0 +1,155 @@
+package org.endivestep.ingress
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import org.endivestep.document.Document
+import org.endivestep.document.Kind
+import org.endivestep.document.RouteRule
+import org.endivestep.document.Service
+import org.endivestep.exchange.Deadline
+import org.endivestep.exchange.MessageHeaders
+import org.endivestep.exchange.RequestBody
+import org.endivestep.exchange.RequestRank
+import org.endivestep.exchange.forwarded
+import org.endivestep.exchange.monotonicMs
+import org.endivestep.identity.AttemptId
+import org.endivestep.identity.Fingerprint
+import org.endivestep.identity.RequestId
+import org.endivestep.identity.ServiceName
+import org.endivestep.identity.randomId
+import org.endivestep.metrics.FinalOutcome
+import org.endivestep.metrics.OutcomeCounters
+import org.endivestep.metrics.OutcomeLabel
+import org.endivestep.outcome.AttemptResult
+import org.endivestep.outcome.HeaderField
+import org.endivestep.outcome.NotRunReason
+import org.endivestep.outcome.UnknownReason
+import org.endivestep.outcome.status
+import java.security.MessageDigest
+import java.util.concurrent.atomic.AtomicInteger
+
+private val logger = KotlinLogging.logger {}
+
+/** Returns the time in ms after which a caller should send a refused request again. */
+internal typealias ReturnTime = (RouteRule?, NotRunReason, remainingMs: Long) -> Long
+
+/**
+ * Serves callers whose requests are routed by host and path. Each request ends with the worker's
+ * whole answer, a true refusal, or a status that promises nothing.
+ */
+internal class RoutedIngress(
+    private val callerService: ServiceName,
+    private val headers: MessageHeaders,
+    private val document: () -> Document?,
+    private val weights: WeightedChoice,
+    private val dispatch: (IncomingCall, AttemptId) -> AttemptResult,
+    private val returnTime: ReturnTime,
+    private val counters: OutcomeCounters,
+) {
+    private val active = AtomicInteger()
+
+    /** Requests that have no answer yet. */
+    val activeCount: Int get() = active.get()
+
+    /** Answers [request]; blocks. Throws [InterruptedException] when the caller has gone. */
+    fun answer(request: CallerRequest): CallerReply {
+        active.incrementAndGet()
+        try {
+            return route(request)
+        } finally {
+            active.decrementAndGet()
+        }
+    }
+
+    private fun route(request: CallerRequest): CallerReply {
+        val requestId = request.header(headers.requestId).orEmpty()
+        val current = document() ?: return refusal(request, null, NotRunReason.NO_CONFIGURATION)
+        val rule =
+            current.routes.find(host(request), request.path)
+                ?: return refusal(request, null, NotRunReason.NO_ROUTE)
+        val service =
+            current.services[weights.choose(rule)]
+                ?: return refusal(request, rule, NotRunReason.UNKNOWN_SERVICE)
+        val deadlineMs = request.header(headers.deadlineMs)?.toLongOrNull() ?: rule.timeoutMs
+        val deadline = Deadline(request.arrivedMs + minOf(deadlineMs, rule.timeoutMs))
+        val call = call(request, rule, service, requestId, deadline)
+        return reply(request, rule, call, dispatch(call, AttemptId(randomId())))
+    }
+
+    private fun host(request: CallerRequest): String = request.header("Host").orEmpty().substringBefore(':').lowercase()
+
+    private fun call(request: CallerRequest, rule: RouteRule, service: Service, requestId: String, deadline: Deadline) =
+        IncomingCall(
+            id = RequestId(requestId),
+            service = service,
+            kind = Kind(rule.name, setOf(request.method), rule.pathPrefix, rule.idempotent, rule.objectiveMs, rule.timeoutMs, weight = 1),
+            method = request.method,
+            path = request.target,
+            headers = forwardedHeaders(request),
+            body = request.body,
+            startMs = request.arrivedMs,
+            deadline = deadline,
+            idempotencyKey = null,
+            fingerprint = fingerprint(request, service),
+            maxAttempts = rule.maxAttempts,
+            rank = RequestRank(rule.priority, request.arrivedMs + rule.objectiveMs),
+        )
+
+    private fun forwardedHeaders(request: CallerRequest): List<HeaderField> {
+        val set = setOf(headers.callerService.lowercase(), headers.deadlineMs.lowercase(), headers.expectedWorker.lowercase())
+        val kept = request.headers.forwarded().filterNot { it.name.lowercase() in set }
+        return kept + HeaderField(headers.callerService, callerService.text)
+    }
+
+    private fun reply(request: CallerRequest, rule: RouteRule, call: IncomingCall, result: AttemptResult): CallerReply =
+        when (result) {
+            is AttemptResult.Answered -> {
+                count(rule, FinalOutcome.ANSWERED, "")
+                counters.time(call.service.name.text, monotonicMs() - request.arrivedMs)
+                CallerReply(result.head.status, result.head.headers.forwarded(), result.body, result.head.contentLength)
+            }
+            is AttemptResult.NotRun -> refusal(request, rule, result.reason)
+            is AttemptResult.Unknown -> failure(request, rule, result.reason)
+        }
+
+    private fun refusal(request: CallerRequest, rule: RouteRule?, reason: NotRunReason): CallerReply {
+        count(rule, FinalOutcome.NOT_RUN, reason.text)
+        logger.info { "request ${request.header(headers.requestId)} refused: ${reason.text}, ${rule?.name?.text} ${request.target}" }
+        val deadlineMs = request.header(headers.deadlineMs)?.toLongOrNull() ?: 0
+        val remainingMs = request.arrivedMs + deadlineMs - monotonicMs()
+        val status = if (reason == NotRunReason.NO_ROUTE) reason.status() else NOT_RUN_STATUS
+        val seconds = "%.3f".format(returnTime(rule, reason, remainingMs) / MS_A_SECOND)
+        return emptyReply(status, echo(request) + HeaderField(headers.retryAfter, seconds))
+    }
+
+    private fun failure(request: CallerRequest, rule: RouteRule, reason: UnknownReason): CallerReply {
+        count(rule, FinalOutcome.UNKNOWN, reason.text)
+        logger.info { "request ${request.header(headers.requestId)} failed: ${reason.text}, ${rule.name.text}" }
+        return emptyReply(if (reason == UnknownReason.TIMEOUT) TIMEOUT_STATUS else FAILURE_STATUS, echo(request))
+    }
+
+    private fun echo(request: CallerRequest): List<HeaderField> =
+        listOfNotNull(request.header(headers.requestId)?.let { HeaderField(headers.requestId, it) })
+
+    private fun count(rule: RouteRule?, outcome: FinalOutcome, reason: String) {
+        val service = rule?.destinations?.first()?.service?.text.orEmpty()
+        counters.count(OutcomeLabel(service, rule?.name?.text.orEmpty(), outcome, reason))
+    }
+
+    // A request that comes again has the same service, path, origin and body, but another id.
+    private fun fingerprint(request: CallerRequest, service: Service): Fingerprint {
+        val digest = MessageDigest.getInstance("MD5")
+        digest.update("${service.name.text}\n${request.method}\n${request.target}\n".toByteArray())
+        when (val body = request.body) {
+            is RequestBody.Inline -> digest.update(body.bytes)
+            is RequestBody.Streamed -> digest.update("${body.length}".toByteArray())
+        }
+        return Fingerprint(digest.digest().joinToString("") { "%02x".format(it) })
+    }
+
+    private companion object {
+        const val NOT_RUN_STATUS = 503
+        const val FAILURE_STATUS = 502
+        const val TIMEOUT_STATUS = 504
+        const val MS_A_SECOND = 1_000.0
+    }
+}
--- a/endivestep/src/main/kotlin/org/endivestep/outcome/Outcome.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/outcome/Outcome.kt
@@ -22,6 +22,8 @@
     BAD_REQUEST("bad-request"),
     UNKNOWN_SERVICE("unknown-service"),
     UNKNOWN_KIND("unknown-kind"),
+    NO_ROUTE("no-route"),
+    COLD("cold"),
     ;
 
     companion object {
@@ -56,8 +58,11 @@
     }
 }
 
-/** What a worker's daemon last said of its worker: requests in flight and the limit in force. */
-internal data class Load(val inFlight: Int, val limit: Int)
+/**
+ * What a worker's daemon last said of its worker: requests in flight, the limit in force, requests
+ * that wait, and how long work takes in percent of the usual time (0 when unknown).
+ */
+internal data class Load(val inFlight: Int, val limit: Int, val waiting: Int = 0, val slownessPercent: Int = 0)
 
 internal data class HeaderField(val name: String, val value: String)
 
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeClient.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeClient.kt
@@ -41,6 +41,21 @@
         val channel = channels.next(peer.address)
         val call = ExchangeCall(channel, CallOptions.DEFAULT)
         val sentMs = monotonicMs()
+        try {
+            return exchange(peer, channel, call, request, sentMs)
+        } catch (e: InterruptedException) {
+            call.cancel("the caller gave up")
+            throw e
+        }
+    }
+
+    private fun exchange(
+        peer: Peer,
+        channel: ManagedChannel,
+        call: ExchangeCall,
+        request: AttemptRequest,
+        sentMs: Long,
+    ): AttemptResult {
         call.start(request.toHead(peer.incarnation, monotonicMs()), streams = request.body is RequestBody.Streamed)
         val first = call.next(admitWaitMs(request))
         val admitted = (first as? Arrival.Frame)?.frame
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ServedExchange.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ServedExchange.kt
@@ -8,6 +8,7 @@
 import org.endivestep.exchange.AttemptRequest
 import org.endivestep.exchange.Deadline
 import org.endivestep.exchange.RequestBody
+import org.endivestep.exchange.RequestRank
 import org.endivestep.exchange.monotonicMs
 import org.endivestep.exchange.readWhole
 import org.endivestep.identity.AttemptId
@@ -116,6 +117,7 @@
             body = body(head),
             deadline = Deadline(monotonicMs() + head.remainingMs),
             fingerprint = Fingerprint(head.fingerprint),
+            rank = RequestRank(head.priority, monotonicMs() + head.objectiveMs, head.nested, head.repeated),
         )
 
     private fun body(head: RequestHead): RequestBody {
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/WireCodec.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/WireCodec.kt
@@ -13,10 +13,17 @@
 import org.endivestep.protocol.v1.RequestHead
 import org.endivestep.protocol.v1.Unknown
 
-internal fun Load.toWire(): LoadReport = LoadReport.newBuilder().setInFlight(inFlight).setLimit(limit).build()
+internal fun Load.toWire(): LoadReport =
+    LoadReport
+        .newBuilder()
+        .setInFlight(inFlight)
+        .setLimit(limit)
+        .setWaiting(waiting)
+        .setSlownessPercent(slownessPercent)
+        .build()
 
 /** Returns the load, or null when the sender gave none. */
-internal fun LoadReport.toLoad(): Load? = if (limit == 0) null else Load(inFlight, limit)
+internal fun LoadReport.toLoad(): Load? = if (limit == 0) null else Load(inFlight, limit, waiting, slownessPercent)
 
 internal fun List<HeaderField>.toWire(): List<Header> = map { Header.newBuilder().setName(it.name).setValue(it.value).build() }
 
@@ -36,6 +43,10 @@
             .setRemainingMs(deadline.remainingMs(nowMs))
             .setDaemonIncarnation(incarnation.text)
             .setFingerprint(fingerprint.text)
+            .setPriority(rank.priority)
+            .setObjectiveMs(rank.objectiveAtMs - nowMs)
+            .setNested(rank.nested)
+            .setRepeated(rank.repeated)
     when (val body = body) {
         is RequestBody.Inline -> builder.setInlineBody(UnsafeByteOperations.unsafeWrap(body.bytes))
         is RequestBody.Streamed -> builder.setStreamedBody(true).setBodyLength(body.length)
--- a/endivestep/src/main/kotlin/org/endivestep/retry/RetryDecision.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/retry/RetryDecision.kt
@@ -46,6 +46,7 @@
         NotRunReason.DEADLINE_PASSED,
         NotRunReason.UNKNOWN_SERVICE,
         NotRunReason.UNKNOWN_KIND,
+        NotRunReason.NO_ROUTE,
         -> false
         else -> true
     }
--- a/endivestep/src/test/kotlin/org/endivestep/configuration/OverridesModelTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/configuration/OverridesModelTest.kt
@@ -31,7 +31,7 @@
 
 private class Node(store: FakeStore, clock: () -> Long) {
     val overrides = Overrides(clock)
-    val adoption = ConfigurationAdoption(overrides::adopted)
+    val adoption = ConfigurationAdoption(onAdopted = overrides::adopted)
     val submission = ConfigurationSubmission(store, clock)
     val writer = OverrideWriter(overrides, submission, { true }) { adoption.offer(it) }
 
--- a/endivestep/src/test/kotlin/org/endivestep/protocol/ExchangeWireTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/protocol/ExchangeWireTest.kt
@@ -15,6 +15,7 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import org.endivestep.document.MAX_QUEUE_WAIT_MS
+import org.endivestep.egress.LocalWorker
 import org.endivestep.egress.WorkerResult
 import org.endivestep.exchange.RequestBody
 import org.endivestep.exchange.monotonicMs
@@ -140,9 +141,9 @@
             listOf(0, 1, 70_000, 3_000_000).forEach { size ->
                 val bytes = ByteArray(size) { (it % 253).toByte() }
                 var uploaded = ByteArray(0)
-                val worker = { address: Address, request: org.endivestep.exchange.AttemptRequest ->
+                val worker = { local: LocalWorker, request: org.endivestep.exchange.AttemptRequest ->
                     uploaded = (request.body as RequestBody.Streamed).stream.readAllBytes()
-                    answering(bytes)(address, request)
+                    answering(bytes)(local, request)
                 }
                 Wire(EgressBench(worker = worker)).use { wire ->
                     val body = RequestBody.Streamed(bytes.inputStream(), size.toLong())
@@ -210,7 +211,7 @@
 
         test("an answer that is cut anywhere never ends as if whole") {
             listOf(0, 1, 20_000, 69_999).forEach { at ->
-                val worker = { _: Address, _: org.endivestep.exchange.AttemptRequest ->
+                val worker = { _: LocalWorker, _: org.endivestep.exchange.AttemptRequest ->
                     WorkerResult.Answered(AnswerHead(200, listOf(HeaderField("Content-Length", "70000"))), CutAfter(ByteArray(at))) { }
                 }
                 Wire(EgressBench(worker = worker)).use { wire ->
@@ -221,7 +222,7 @@
         }
 
         test("an answer whose end cannot be seen is not passed on") {
-            val worker = { _: Address, _: org.endivestep.exchange.AttemptRequest ->
+            val worker = { _: LocalWorker, _: org.endivestep.exchange.AttemptRequest ->
                 WorkerResult.Answered(AnswerHead(200, emptyList()), ByteArray(3).inputStream()) { }
             }
             val result = EgressBench(worker = worker).egress.run(sampleAttempt()) { }
@@ -230,10 +231,10 @@
 
         test("a connection that is cut while the worker runs leaves the outcome unknown") {
             val began = CountDownLatch(1)
-            val worker = { address: Address, request: org.endivestep.exchange.AttemptRequest ->
+            val worker = { local: LocalWorker, request: org.endivestep.exchange.AttemptRequest ->
                 began.countDown()
                 Thread.sleep(1_000)
-                answering()(address, request)
+                answering()(local, request)
             }
             Wire(EgressBench(worker = worker)).use { wire ->
                 Thread {
@@ -246,7 +247,7 @@
 
         test("a caller that gives up frees its place at the worker") {
             val never = CountDownLatch(1)
-            val worker = { _: Address, _: org.endivestep.exchange.AttemptRequest ->
+            val worker = { _: LocalWorker, _: org.endivestep.exchange.AttemptRequest ->
                 try {
                     never.await()
                     error("nothing ends the wait")
--- a/protocol/src/main/java/org/endivestep/protocol/v1/LoadReport.java
+++ b/protocol/src/main/java/org/endivestep/protocol/v1/LoadReport.java
@@ -65,6 +65,32 @@
     return limit_;
   }
 
+  public static final int WAITING_FIELD_NUMBER = 3;
+  private int waiting_ = 0;
+  /**
+   * <code>int32 waiting = 3;</code>
+   * @return The waiting.
+   */
+  @java.lang.Override
+  public int getWaiting() {
+    return waiting_;
+  }
+
+  public static final int SLOWNESS_PERCENT_FIELD_NUMBER = 4;
+  private int slownessPercent_ = 0;
+  /**
+   * <pre>
+   * How long work takes at the worker now, in percent of the usual time; 0 when unknown.
+   * </pre>
+   *
+   * <code>int32 slowness_percent = 4;</code>
+   * @return The slownessPercent.
+   */
+  @java.lang.Override
+  public int getSlownessPercent() {
+    return slownessPercent_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -85,6 +111,12 @@
     if (limit_ != 0) {
       output.writeInt32(2, limit_);
     }
+    if (waiting_ != 0) {
+      output.writeInt32(3, waiting_);
+    }
+    if (slownessPercent_ != 0) {
+      output.writeInt32(4, slownessPercent_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -102,6 +134,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt32Size(2, limit_);
     }
+    if (waiting_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(3, waiting_);
+    }
+    if (slownessPercent_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(4, slownessPercent_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -121,6 +161,10 @@
         != other.getInFlight()) return false;
     if (getLimit()
         != other.getLimit()) return false;
+    if (getWaiting()
+        != other.getWaiting()) return false;
+    if (getSlownessPercent()
+        != other.getSlownessPercent()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -136,6 +180,10 @@
     hash = (53 * hash) + getInFlight();
     hash = (37 * hash) + LIMIT_FIELD_NUMBER;
     hash = (53 * hash) + getLimit();
+    hash = (37 * hash) + WAITING_FIELD_NUMBER;
+    hash = (53 * hash) + getWaiting();
+    hash = (37 * hash) + SLOWNESS_PERCENT_FIELD_NUMBER;
+    hash = (53 * hash) + getSlownessPercent();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -269,6 +317,8 @@
       bitField0_ = 0;
       inFlight_ = 0;
       limit_ = 0;
+      waiting_ = 0;
+      slownessPercent_ = 0;
       return this;
     }
 
@@ -308,6 +358,12 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.limit_ = limit_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.waiting_ = waiting_;
+      }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.slownessPercent_ = slownessPercent_;
+      }
     }
 
     @java.lang.Override
@@ -328,6 +384,12 @@
       if (other.getLimit() != 0) {
         setLimit(other.getLimit());
       }
+      if (other.getWaiting() != 0) {
+        setWaiting(other.getWaiting());
+      }
+      if (other.getSlownessPercent() != 0) {
+        setSlownessPercent(other.getSlownessPercent());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -364,6 +426,16 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
+            case 24: {
+              waiting_ = input.readInt32();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
+            case 32: {
+              slownessPercent_ = input.readInt32();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -445,6 +517,82 @@
       return this;
     }
 
+    private int waiting_ ;
+    /**
+     * <code>int32 waiting = 3;</code>
+     * @return The waiting.
+     */
+    @java.lang.Override
+    public int getWaiting() {
+      return waiting_;
+    }
+    /**
+     * <code>int32 waiting = 3;</code>
+     * @param value The waiting to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWaiting(int value) {
+
+      waiting_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int32 waiting = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWaiting() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      waiting_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private int slownessPercent_ ;
+    /**
+     * <pre>
+     * How long work takes at the worker now, in percent of the usual time; 0 when unknown.
+     * </pre>
+     *
+     * <code>int32 slowness_percent = 4;</code>
+     * @return The slownessPercent.
+     */
+    @java.lang.Override
+    public int getSlownessPercent() {
+      return slownessPercent_;
+    }
+    /**
+     * <pre>
+     * How long work takes at the worker now, in percent of the usual time; 0 when unknown.
+     * </pre>
+     *
+     * <code>int32 slowness_percent = 4;</code>
+     * @param value The slownessPercent to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSlownessPercent(int value) {
+
+      slownessPercent_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How long work takes at the worker now, in percent of the usual time; 0 when unknown.
+     * </pre>
+     *
+     * <code>int32 slowness_percent = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSlownessPercent() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      slownessPercent_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:endivestep.v1.LoadReport)
   }
 
--- a/protocol/src/main/java/org/endivestep/protocol/v1/LoadReportOrBuilder.java
+++ b/protocol/src/main/java/org/endivestep/protocol/v1/LoadReportOrBuilder.java
@@ -21,4 +21,20 @@
    * @return The limit.
    */
   int getLimit();
+
+  /**
+   * <code>int32 waiting = 3;</code>
+   * @return The waiting.
+   */
+  int getWaiting();
+
+  /**
+   * <pre>
+   * How long work takes at the worker now, in percent of the usual time; 0 when unknown.
+   * </pre>
+   *
+   * <code>int32 slowness_percent = 4;</code>
+   * @return The slownessPercent.
+   */
+  int getSlownessPercent();
 }
--- a/protocol/src/main/java/org/endivestep/protocol/v1/RequestHead.java
+++ b/protocol/src/main/java/org/endivestep/protocol/v1/RequestHead.java
@@ -465,6 +465,81 @@
     return configurationVersion_;
   }
 
+  public static final int PRIORITY_FIELD_NUMBER = 15;
+  private int priority_ = 0;
+  /**
+   * <pre>
+   * Rank of the request among those that wait, 0 is the highest.
+   * </pre>
+   *
+   * <code>int32 priority = 15;</code>
+   * @return The priority.
+   */
+  @java.lang.Override
+  public int getPriority() {
+    return priority_;
+  }
+
+  public static final int OBJECTIVE_MS_FIELD_NUMBER = 16;
+  private long objectiveMs_ = 0L;
+  /**
+   * <pre>
+   * Time in ms until the answer is late, negative when it is late already.
+   * </pre>
+   *
+   * <code>int64 objective_ms = 16;</code>
+   * @return The objectiveMs.
+   */
+  @java.lang.Override
+  public long getObjectiveMs() {
+    return objectiveMs_;
+  }
+
+  public static final int PATIENCE_MS_FIELD_NUMBER = 17;
+  private long patienceMs_ = 0L;
+  /**
+   * <pre>
+   * Greatest length in ms that the request may wait to be admitted.
+   * </pre>
+   *
+   * <code>int64 patience_ms = 17;</code>
+   * @return The patienceMs.
+   */
+  @java.lang.Override
+  public long getPatienceMs() {
+    return patienceMs_;
+  }
+
+  public static final int NESTED_FIELD_NUMBER = 18;
+  private boolean nested_ = false;
+  /**
+   * <pre>
+   * Whether a worker of the fleet sent the request while it runs another one.
+   * </pre>
+   *
+   * <code>bool nested = 18;</code>
+   * @return The nested.
+   */
+  @java.lang.Override
+  public boolean getNested() {
+    return nested_;
+  }
+
+  public static final int REPEATED_FIELD_NUMBER = 19;
+  private boolean repeated_ = false;
+  /**
+   * <pre>
+   * Whether the request was refused before and came back.
+   * </pre>
+   *
+   * <code>bool repeated = 19;</code>
+   * @return The repeated.
+   */
+  @java.lang.Override
+  public boolean getRepeated() {
+    return repeated_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -521,6 +596,21 @@
     if (configurationVersion_ != 0L) {
       output.writeInt64(14, configurationVersion_);
     }
+    if (priority_ != 0) {
+      output.writeInt32(15, priority_);
+    }
+    if (objectiveMs_ != 0L) {
+      output.writeInt64(16, objectiveMs_);
+    }
+    if (patienceMs_ != 0L) {
+      output.writeInt64(17, patienceMs_);
+    }
+    if (nested_ != false) {
+      output.writeBool(18, nested_);
+    }
+    if (repeated_ != false) {
+      output.writeBool(19, repeated_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -578,6 +668,26 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(14, configurationVersion_);
     }
+    if (priority_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(15, priority_);
+    }
+    if (objectiveMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(16, objectiveMs_);
+    }
+    if (patienceMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(17, patienceMs_);
+    }
+    if (nested_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(18, nested_);
+    }
+    if (repeated_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(19, repeated_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -621,6 +731,16 @@
         .equals(other.getFingerprint())) return false;
     if (getConfigurationVersion()
         != other.getConfigurationVersion()) return false;
+    if (getPriority()
+        != other.getPriority()) return false;
+    if (getObjectiveMs()
+        != other.getObjectiveMs()) return false;
+    if (getPatienceMs()
+        != other.getPatienceMs()) return false;
+    if (getNested()
+        != other.getNested()) return false;
+    if (getRepeated()
+        != other.getRepeated()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -666,6 +786,20 @@
     hash = (37 * hash) + CONFIGURATION_VERSION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getConfigurationVersion());
+    hash = (37 * hash) + PRIORITY_FIELD_NUMBER;
+    hash = (53 * hash) + getPriority();
+    hash = (37 * hash) + OBJECTIVE_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getObjectiveMs());
+    hash = (37 * hash) + PATIENCE_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getPatienceMs());
+    hash = (37 * hash) + NESTED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getNested());
+    hash = (37 * hash) + REPEATED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getRepeated());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -817,6 +951,11 @@
       bodyLength_ = 0L;
       fingerprint_ = "";
       configurationVersion_ = 0L;
+      priority_ = 0;
+      objectiveMs_ = 0L;
+      patienceMs_ = 0L;
+      nested_ = false;
+      repeated_ = false;
       return this;
     }
 
@@ -902,6 +1041,21 @@
       if (((from_bitField0_ & 0x00002000) != 0)) {
         result.configurationVersion_ = configurationVersion_;
       }
+      if (((from_bitField0_ & 0x00004000) != 0)) {
+        result.priority_ = priority_;
+      }
+      if (((from_bitField0_ & 0x00008000) != 0)) {
+        result.objectiveMs_ = objectiveMs_;
+      }
+      if (((from_bitField0_ & 0x00010000) != 0)) {
+        result.patienceMs_ = patienceMs_;
+      }
+      if (((from_bitField0_ & 0x00020000) != 0)) {
+        result.nested_ = nested_;
+      }
+      if (((from_bitField0_ & 0x00040000) != 0)) {
+        result.repeated_ = repeated_;
+      }
     }
 
     @java.lang.Override
@@ -997,6 +1151,21 @@
       if (other.getConfigurationVersion() != 0L) {
         setConfigurationVersion(other.getConfigurationVersion());
       }
+      if (other.getPriority() != 0) {
+        setPriority(other.getPriority());
+      }
+      if (other.getObjectiveMs() != 0L) {
+        setObjectiveMs(other.getObjectiveMs());
+      }
+      if (other.getPatienceMs() != 0L) {
+        setPatienceMs(other.getPatienceMs());
+      }
+      if (other.getNested() != false) {
+        setNested(other.getNested());
+      }
+      if (other.getRepeated() != false) {
+        setRepeated(other.getRepeated());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1101,6 +1270,31 @@
               bitField0_ |= 0x00002000;
               break;
             } // case 112
+            case 120: {
+              priority_ = input.readInt32();
+              bitField0_ |= 0x00004000;
+              break;
+            } // case 120
+            case 128: {
+              objectiveMs_ = input.readInt64();
+              bitField0_ |= 0x00008000;
+              break;
+            } // case 128
+            case 136: {
+              patienceMs_ = input.readInt64();
+              bitField0_ |= 0x00010000;
+              break;
+            } // case 136
+            case 144: {
+              nested_ = input.readBool();
+              bitField0_ |= 0x00020000;
+              break;
+            } // case 144
+            case 152: {
+              repeated_ = input.readBool();
+              bitField0_ |= 0x00040000;
+              break;
+            } // case 152
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2106,6 +2300,226 @@
       return this;
     }
 
+    private int priority_ ;
+    /**
+     * <pre>
+     * Rank of the request among those that wait, 0 is the highest.
+     * </pre>
+     *
+     * <code>int32 priority = 15;</code>
+     * @return The priority.
+     */
+    @java.lang.Override
+    public int getPriority() {
+      return priority_;
+    }
+    /**
+     * <pre>
+     * Rank of the request among those that wait, 0 is the highest.
+     * </pre>
+     *
+     * <code>int32 priority = 15;</code>
+     * @param value The priority to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPriority(int value) {
+
+      priority_ = value;
+      bitField0_ |= 0x00004000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Rank of the request among those that wait, 0 is the highest.
+     * </pre>
+     *
+     * <code>int32 priority = 15;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPriority() {
+      bitField0_ = (bitField0_ & ~0x00004000);
+      priority_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private long objectiveMs_ ;
+    /**
+     * <pre>
+     * Time in ms until the answer is late, negative when it is late already.
+     * </pre>
+     *
+     * <code>int64 objective_ms = 16;</code>
+     * @return The objectiveMs.
+     */
+    @java.lang.Override
+    public long getObjectiveMs() {
+      return objectiveMs_;
+    }
+    /**
+     * <pre>
+     * Time in ms until the answer is late, negative when it is late already.
+     * </pre>
+     *
+     * <code>int64 objective_ms = 16;</code>
+     * @param value The objectiveMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setObjectiveMs(long value) {
+
+      objectiveMs_ = value;
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Time in ms until the answer is late, negative when it is late already.
+     * </pre>
+     *
+     * <code>int64 objective_ms = 16;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearObjectiveMs() {
+      bitField0_ = (bitField0_ & ~0x00008000);
+      objectiveMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long patienceMs_ ;
+    /**
+     * <pre>
+     * Greatest length in ms that the request may wait to be admitted.
+     * </pre>
+     *
+     * <code>int64 patience_ms = 17;</code>
+     * @return The patienceMs.
+     */
+    @java.lang.Override
+    public long getPatienceMs() {
+      return patienceMs_;
+    }
+    /**
+     * <pre>
+     * Greatest length in ms that the request may wait to be admitted.
+     * </pre>
+     *
+     * <code>int64 patience_ms = 17;</code>
+     * @param value The patienceMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPatienceMs(long value) {
+
+      patienceMs_ = value;
+      bitField0_ |= 0x00010000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Greatest length in ms that the request may wait to be admitted.
+     * </pre>
+     *
+     * <code>int64 patience_ms = 17;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPatienceMs() {
+      bitField0_ = (bitField0_ & ~0x00010000);
+      patienceMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private boolean nested_ ;
+    /**
+     * <pre>
+     * Whether a worker of the fleet sent the request while it runs another one.
+     * </pre>
+     *
+     * <code>bool nested = 18;</code>
+     * @return The nested.
+     */
+    @java.lang.Override
+    public boolean getNested() {
+      return nested_;
+    }
+    /**
+     * <pre>
+     * Whether a worker of the fleet sent the request while it runs another one.
+     * </pre>
+     *
+     * <code>bool nested = 18;</code>
+     * @param value The nested to set.
+     * @return This builder for chaining.
+     */
+    public Builder setNested(boolean value) {
+
+      nested_ = value;
+      bitField0_ |= 0x00020000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether a worker of the fleet sent the request while it runs another one.
+     * </pre>
+     *
+     * <code>bool nested = 18;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearNested() {
+      bitField0_ = (bitField0_ & ~0x00020000);
+      nested_ = false;
+      onChanged();
+      return this;
+    }
+
+    private boolean repeated_ ;
+    /**
+     * <pre>
+     * Whether the request was refused before and came back.
+     * </pre>
+     *
+     * <code>bool repeated = 19;</code>
+     * @return The repeated.
+     */
+    @java.lang.Override
+    public boolean getRepeated() {
+      return repeated_;
+    }
+    /**
+     * <pre>
+     * Whether the request was refused before and came back.
+     * </pre>
+     *
+     * <code>bool repeated = 19;</code>
+     * @param value The repeated to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRepeated(boolean value) {
+
+      repeated_ = value;
+      bitField0_ |= 0x00040000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the request was refused before and came back.
+     * </pre>
+     *
+     * <code>bool repeated = 19;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRepeated() {
+      bitField0_ = (bitField0_ & ~0x00040000);
+      repeated_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:endivestep.v1.RequestHead)
   }
 
--- a/protocol/src/main/java/org/endivestep/protocol/v1/RequestHeadOrBuilder.java
+++ b/protocol/src/main/java/org/endivestep/protocol/v1/RequestHeadOrBuilder.java
@@ -163,4 +163,54 @@
    * @return The configurationVersion.
    */
   long getConfigurationVersion();
+
+  /**
+   * <pre>
+   * Rank of the request among those that wait, 0 is the highest.
+   * </pre>
+   *
+   * <code>int32 priority = 15;</code>
+   * @return The priority.
+   */
+  int getPriority();
+
+  /**
+   * <pre>
+   * Time in ms until the answer is late, negative when it is late already.
+   * </pre>
+   *
+   * <code>int64 objective_ms = 16;</code>
+   * @return The objectiveMs.
+   */
+  long getObjectiveMs();
+
+  /**
+   * <pre>
+   * Greatest length in ms that the request may wait to be admitted.
+   * </pre>
+   *
+   * <code>int64 patience_ms = 17;</code>
+   * @return The patienceMs.
+   */
+  long getPatienceMs();
+
+  /**
+   * <pre>
+   * Whether a worker of the fleet sent the request while it runs another one.
+   * </pre>
+   *
+   * <code>bool nested = 18;</code>
+   * @return The nested.
+   */
+  boolean getNested();
+
+  /**
+   * <pre>
+   * Whether the request was refused before and came back.
+   * </pre>
+   *
+   * <code>bool repeated = 19;</code>
+   * @return The repeated.
+   */
+  boolean getRepeated();
 }
