--- a/emulator/src/test/kotlin/org/endivestep/emulator/ProcessFleet.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/ProcessFleet.kt
@@ -51,8 +51,11 @@
         main,
     )
 
-private fun start(main: String, arguments: List<String>, log: File): Process =
-    ProcessBuilder(javaCommand(main) + arguments).redirectErrorStream(true).redirectOutput(log).start()
+internal fun startProcess(main: String, arguments: List<String>, log: File, environment: Map<String, String> = emptyMap()): Process {
+    val builder = ProcessBuilder(javaCommand(main) + arguments).redirectErrorStream(true).redirectOutput(log)
+    builder.environment().putAll(environment)
+    return builder.start()
+}
 
 internal fun signal(process: Process, name: String) {
     ProcessBuilder("kill", "-$name", "${process.pid()}").start().waitFor()
@@ -71,7 +74,7 @@
     lateinit var workerProcess: Process
 }
 
-private fun freePorts(count: Int): List<Int> {
+internal fun freePorts(count: Int): List<Int> {
     val sockets = List(count) { ServerSocket(0) }
     return sockets.map { socket -> socket.use { it.localPort } }
 }
@@ -83,7 +86,7 @@
     private val storePort = freePorts(1).first()
 
     fun start() {
-        processes += start("org.endivestep.emulator.MainKt", listOf("store", "--port", "$storePort"), File(directory, "store.log"))
+        processes += startProcess("org.endivestep.emulator.MainKt", listOf("store", "--port", "$storePort"), File(directory, "store.log"))
         awaitStatus("http://127.0.0.1:$storePort/counts", 200)
         places.forEach(::startDaemon)
         places.forEach(::startWorker)
@@ -98,7 +101,7 @@
     fun startDaemon(place: Place) {
         val settings = File(directory, "${place.vm}.ini")
         settings.writeText(settingsOf(place))
-        place.daemon = start("org.endivestep.MainKt", listOf("daemon", "--settings", settings.path), File(directory, "${place.vm}.log"))
+        place.daemon = startProcess("org.endivestep.MainKt", listOf("daemon", "--settings", settings.path), File(directory, "${place.vm}.log"))
         processes += place.daemon
     }
 
@@ -106,7 +109,7 @@
         val arguments =
             listOf("worker", "--port", "${place.worker}", "--admin", "http://127.0.0.1:${place.admin}", "--service", place.service)
         place.workerProcess =
-            start("org.endivestep.emulator.MainKt", arguments + listOf("--time-ms", "2"), File(directory, "${place.vm}-worker.log"))
+            startProcess("org.endivestep.emulator.MainKt", arguments + listOf("--time-ms", "2"), File(directory, "${place.vm}-worker.log"))
         processes += place.workerProcess
     }
 
