--- a/emulator/src/test/kotlin/org/endivestep/emulator/PlatformFleet.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/PlatformFleet.kt
@@ -42,12 +42,18 @@
     fun startDaemon(place: PlatformPlace) {
         val settings = File(directory, "${place.vm}.ini")
         settings.writeText(settingsOf(place))
-        val environment = mapOf("ENDIVESTEP_SETTINGS" to settings.path)
+        val environment = mapOf("ENDIVESTEP_SETTINGS" to settings.path) + runtimeOptions(place)
         place.daemon =
             startProcess("org.endivestep.MainKt", listOf("platform-daemon"), File(directory, "${place.vm}.log"), environment)
         processes += place.daemon
     }
 
+    // bin/class-list passes options for the runtime, with VM in place of the name.
+    private fun runtimeOptions(place: PlatformPlace): Map<String, String> {
+        val options = System.getProperty("daemon.options") ?: return emptyMap()
+        return mapOf("JAVA_TOOL_OPTIONS" to options.replace("VM", place.vm))
+    }
+
     fun startWorker(place: PlatformPlace) {
         val arguments = listOf("--port", "${place.worker}", "--daemon", "127.0.0.1:${place.heartbeats}", "--service", place.service)
         val log = File(directory, "${place.vm}-worker.log")
--- a/emulator/src/test/kotlin/org/endivestep/emulator/PlatformProcessTest.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/PlatformProcessTest.kt
@@ -94,6 +94,11 @@
                 (fleet.storeCalls() - callsBefore) shouldBeLessThan 60
                 fleet.storeFaults("status=0")
 
+                // A changed settings file does not end the daemon.
+                signal(stockB.daemon, "HUP")
+                Thread.sleep(500)
+                stockB.daemon.isAlive shouldBe true
+
                 // A daemon that stops serves to the end, and its peers go on.
                 signal(ordersB.daemon, "TERM")
                 repeat(30) { fleet.send(stockB, HOST, "/reads/stop-$it").statusCode() shouldBe 200 }
--- a/endivestep/src/main/kotlin/org/endivestep/admission/AdmissionQueue.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/admission/AdmissionQueue.kt
@@ -16,6 +16,16 @@
     data class Refused(val reason: NotRunReason) : Admission
 }
 
+/** What a request asks of the queue; times are in ms of the queue's clock. */
+internal class AdmissionRequest(
+    /** Time that the request can wait, however short the queue is. */
+    val patienceMs: Long,
+    val occupancy: Occupancy = Occupancy.SHARED,
+    val rank: RequestRank = RequestRank(),
+    /** Time that the worker will probably take for it, 0 when unknown. */
+    val workMs: Double = 0.0,
+)
+
 /** How much of the worker a request takes. */
 internal enum class Occupancy {
     SHARED,
@@ -31,8 +41,9 @@
  * arrival. Thread-safe; [admit] blocks its thread while it waits.
  */
 internal class AdmissionQueue(private var settings: LimitSettings, private val clockMs: () -> Long) {
-    private class Waiter(val occupancy: Occupancy, val rank: RequestRank, val admitted: Condition) {
+    private class Waiter(val request: AdmissionRequest, val late: Boolean, val admitted: Condition) {
         var admission: Admission? = null
+        val place = WaitingPlace(request.rank, late)
     }
 
     private val limit = AdmissionLimit(settings)
@@ -44,10 +55,22 @@
     private val lock = ReentrantLock()
 
     val load: Load
-        get() = lock.withLock { limit.load.copy(waiting = waiting.size, slownessPercent = slownessPercent) }
+        get() =
+            lock.withLock {
+                val current = limit.load
+                val taken = if (pace.delayMs(clockMs()) > 0) current.limit else current.inFlight
+                current.copy(inFlight = taken, waiting = waiting.size, slownessPercent = slownessPercent)
+            }
+
+    /** Told after each change of the load; must not block. */
+    @Volatile
+    var onLoad: () -> Unit = { }
 
     /** Notes how long work takes at the worker now, in percent of the usual time. */
-    fun noteSlowness(percent: Int) = lock.withLock { slownessPercent = percent }
+    fun noteSlowness(percent: Int) {
+        lock.withLock { slownessPercent = percent }
+        onLoad()
+    }
 
     fun configure(settings: LimitSettings) =
         lock.withLock {
@@ -69,24 +92,38 @@
 
     fun open() = lock.withLock { closedFor = null }
 
-    /** Admits or refuses a request that can wait for at most [patienceMs]. */
-    fun admit(patienceMs: Long, occupancy: Occupancy = Occupancy.SHARED, rank: RequestRank = RequestRank()): Admission {
+    /** Admits or refuses [request]; one that would probably wait longer than it can is refused at once. */
+    fun admit(request: AdmissionRequest): Admission {
         lock.withLock {
             closedFor?.let { return Admission.Refused(it) }
-            if (waiting.isEmpty()) tryAdmit(occupancy)?.let { return it }
-            val waitMs = minOf(patienceMs, settings.queueWaitMs)
-            if (waitMs <= 0 || waiting.size >= settings.queueLength) return Admission.Refused(NotRunReason.OVERLOADED)
-            return await(Waiter(occupancy, rank, lock.newCondition()), clockMs() + waitMs)
+            if (waiting.isEmpty()) tryAdmit(request.occupancy)?.let { return it }
+            val nowMs = clockMs()
+            val waiter = Waiter(request, nowMs + request.workMs > request.rank.objectiveAtMs, lock.newCondition())
+            val longestMs = minOf(request.patienceMs, settings.queueWaitMs)
+            if (longestMs <= 0 || waiting.size >= settings.queueLength || expectedWaitMs(waiter) > longestMs) {
+                return Admission.Refused(NotRunReason.OVERLOADED)
+            }
+            return await(waiter, nowMs + longestMs)
         }
     }
 
+    // Work that is not known is waited for.
+    private fun expectedWaitMs(waiter: Waiter): Double {
+        if (waiter.request.workMs <= 0.0) return 0.0
+        val places = limit.load.limit.coerceAtLeast(1)
+        val aheadMs = waiting.filter { waitingOrder.compare(it.place, waiter.place) <= 0 }.sumOf { it.request.workMs }
+        return maxOf((aheadMs + waiter.request.workMs / 2) / places, pace.delayMs(clockMs()).toDouble())
+    }
+
     /** Ends an admitted request. */
-    fun release(permit: AdmissionLimit.Permit, completion: Completion) =
+    fun release(permit: AdmissionLimit.Permit, completion: Completion) {
         lock.withLock {
             limit.release(permit, completion, clockMs())
             runningAlone = false
             admitWaiting()
         }
+        onLoad()
+    }
 
     private fun await(waiter: Waiter, untilMs: Long): Admission {
         enqueue(waiter)
@@ -107,7 +144,7 @@
     }
 
     private fun enqueue(waiter: Waiter) {
-        val behind = waiting.indexOfFirst { waitingOrder.compare(waiter.rank, it.rank) < 0 }
+        val behind = waiting.indexOfFirst { waitingOrder.compare(waiter.place, it.place) < 0 }
         if (behind < 0) waiting.addLast(waiter) else waiting.add(behind, waiter)
     }
 
@@ -121,7 +158,7 @@
     private fun admitWaiting() {
         while (waiting.isNotEmpty()) {
             val next = waiting.first()
-            decide(next, tryAdmit(next.occupancy) ?: break)
+            decide(next, tryAdmit(next.request.occupancy) ?: break)
         }
     }
 
@@ -139,13 +176,20 @@
         val permit = limit.tryAcquire(nowMs) ?: return null
         pace.sent(nowMs)
         runningAlone = occupancy == Occupancy.ALONE
+        onLoad()
         return Admission.Admitted(permit)
     }
 }
 
+/** What decides the order among waiting requests; [late] ones cannot be answered in time any more. */
+internal data class WaitingPlace(val rank: RequestRank, val late: Boolean)
+
 /**
- * Calls of other workers go first, because refusing one wastes the work of its parent; then the
- * higher priority, then requests that were refused before.
+ * Calls of other workers go first, because refusing one wastes the work of its parent; then requests
+ * that can still be answered in time, the higher priority, and those that were refused before.
  */
-internal val waitingOrder: Comparator<RequestRank> =
-    compareBy<RequestRank> { !it.nested }.thenBy { it.priority }.thenBy { !it.repeated }
+internal val waitingOrder: Comparator<WaitingPlace> =
+    compareBy<WaitingPlace> { !it.rank.nested }
+        .thenBy { it.late }
+        .thenBy { it.rank.priority }
+        .thenBy { !it.rank.repeated }
--- /dev/null
+++ b/endivestep/src/main/kotlin/org/endivestep/choice/CompletionEstimates.kt
@@ -0,0 +1,115 @@
+package org.endivestep.choice
+
+import org.endivestep.identity.KindName
+import org.endivestep.identity.VmName
+import org.endivestep.outcome.Load
+
+/**
+ * Estimates when each worker would complete a request, from the load that workers' daemons tell and
+ * from the requests that this daemon has sent since.
+ *
+ * A worker that takes longer than its stated slowness explains gets a factor of its own, which fades
+ * when nothing confirms it. A pure state machine: times are in ms. Not thread-safe.
+ */
+internal class CompletionEstimates(private val times: WorkTimes, private val clockMs: () -> Long) : WorkerLoads {
+    private class Entry {
+        var own = 0
+        var ownAtReport = 0
+        var load: Load? = null
+        var reportedMs = 0L
+        var factor = 1.0
+        var factorMs = 0L
+        var avoidUntilMs = 0L
+    }
+
+    private val entries = HashMap<VmName, Entry>()
+
+    override fun begin(vm: VmName) {
+        entry(vm).own++
+    }
+
+    override fun end(vm: VmName, kind: KindName, load: Load?, workerMs: Long?) {
+        val entry = entry(vm)
+        entry.own = (entry.own - 1).coerceAtLeast(0)
+        if (workerMs != null) {
+            learnFactor(entry, kind, workerMs)
+            times.observed(kind, workerMs.toDouble())
+        }
+        if (load != null) report(vm, load)
+    }
+
+    override fun avoid(vm: VmName, durationMs: Long) {
+        entry(vm).avoidUntilMs = clockMs() + durationMs
+    }
+
+    /** Takes in what the daemon beside [vm]'s worker tells. */
+    fun report(vm: VmName, load: Load) {
+        val entry = entry(vm)
+        entry.load = load
+        entry.reportedMs = clockMs()
+        entry.ownAtReport = entry.own
+    }
+
+    /** Returns the time in ms until [vm] would have completed a request of [kind] that is sent now. */
+    fun expectedMs(vm: VmName, kind: KindName): Double {
+        val usualMs = times.usualMs(kind)
+        val entry = entries[vm] ?: return completionMs(usualMs, 0)
+        val nowMs = clockMs()
+        val avoidedMs = if (nowMs < entry.avoidUntilMs) AVOIDED_MS else 0.0
+        val load = entry.load ?: return avoidedMs + completionMs(usualMs * factor(entry, nowMs), 0) + entry.own
+        val slowness = if (nowMs - entry.reportedMs > STALE_AFTER_MS) 0 else load.slownessPercent
+        val workMs = completionMs(usualMs * factor(entry, nowMs), slowness)
+        return avoidedMs + workMs + queueMs(load, (entry.own - entry.ownAtReport).coerceAtLeast(0), workMs)
+    }
+
+    // A worker that is fuller is also more likely to have filled up since it told its load.
+    private fun queueMs(load: Load, sentSince: Int, workMs: Double): Double {
+        val places = load.limit.coerceAtLeast(1)
+        val taken = load.inFlight + load.waiting + sentSince
+        if (taken < places) return FULLNESS_MS * taken / places
+        return FULLNESS_MS + waitMs(taken - places, places, workMs)
+    }
+
+    private fun learnFactor(entry: Entry, kind: KindName, workerMs: Long) {
+        val usualMs = times.usualMs(kind)
+        val sample = (workerMs / usualMs.coerceAtLeast(1.0)).coerceIn(1.0, MAX_FACTOR)
+        val nowMs = clockMs()
+        entry.factor = factor(entry, nowMs) + (sample - factor(entry, nowMs)) * FACTOR_WEIGHT
+        entry.factorMs = nowMs
+    }
+
+    private fun factor(entry: Entry, nowMs: Long): Double {
+        val age = (nowMs - entry.factorMs).toDouble() / FACTOR_HALF_LIFE_MS
+        return 1.0 + (entry.factor - 1.0) * Math.pow(0.5, age)
+    }
+
+    private fun entry(vm: VmName): Entry = entries.getOrPut(vm) { Entry() }
+
+    private companion object {
+        const val STALE_AFTER_MS = 1_500L
+        const val AVOIDED_MS = 1_000.0
+        const val FULLNESS_MS = 40.0
+        const val FACTOR_WEIGHT = 0.15
+        const val FACTOR_HALF_LIFE_MS = 2_000.0
+        const val MAX_FACTOR = 20.0
+    }
+}
+
+/**
+ * Returns a policy that takes the worker with the earliest expected completion; one in another place
+ * must be better by what its distance costs.
+ */
+internal fun earliestCompletion(locality: Locality, estimates: CompletionEstimates): ChoicePolicy =
+    { kind, candidates ->
+        candidates.shuffled().minBy { estimates.expectedMs(it.vm, kind) + distanceMs(locality, it) }
+    }
+
+private const val OTHER_DATA_CENTRE_MS = 50.0
+private const val OTHER_REGION_MS = 1_000.0
+
+private fun distanceMs(from: Locality, candidate: Candidate): Double =
+    when {
+        candidate.dataCentre == from.dataCentre -> 0.0
+        candidate.region == from.region -> OTHER_DATA_CENTRE_MS
+        else -> OTHER_REGION_MS
+    }
--- /dev/null
+++ b/endivestep/src/main/kotlin/org/endivestep/choice/WorkTimes.kt
@@ -0,0 +1,29 @@
+package org.endivestep.choice
+
+import org.endivestep.identity.KindName
+import java.util.concurrent.ConcurrentHashMap
+
+/**
+ * Usual time in ms that a worker takes for each kind of request, learned from answers.
+ *
+ * It follows short times quickly and long ones slowly, so that what it tells is the time at a worker
+ * that nothing slows down. Thread-safe.
+ */
+internal class WorkTimes {
+    private val usualMs = ConcurrentHashMap<KindName, Double>()
+
+    fun observed(kind: KindName, elapsedMs: Double) {
+        usualMs.merge(kind, elapsedMs) { known, _ -> known + (elapsedMs - known) * weight(known, elapsedMs) }
+    }
+
+    /** Returns the usual time of [kind], or [UNKNOWN_MS] before its first answer. */
+    fun usualMs(kind: KindName): Double = usualMs[kind] ?: UNKNOWN_MS
+
+    private fun weight(known: Double, elapsedMs: Double): Double = if (elapsedMs < known) FALL_WEIGHT else RISE_WEIGHT
+
+    companion object {
+        const val UNKNOWN_MS = 100.0
+        private const val FALL_WEIGHT = 0.1
+        private const val RISE_WEIGHT = 0.03
+    }
+}
--- a/endivestep/src/main/kotlin/org/endivestep/choice/WorkerChoice.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/choice/WorkerChoice.kt
@@ -1,6 +1,7 @@
 package org.endivestep.choice
 
 import org.endivestep.identity.DataCentreName
+import org.endivestep.identity.KindName
 import org.endivestep.identity.VmName
 import org.endivestep.outcome.Load
 import java.util.random.RandomGenerator
@@ -12,7 +13,7 @@
 internal data class Locality(val dataCentre: DataCentreName, val region: String)
 
 /** Chooses one of the candidates, which are never empty. */
-internal typealias ChoicePolicy = (candidates: List<Candidate>) -> Candidate
+internal typealias ChoicePolicy = (kind: KindName, candidates: List<Candidate>) -> Candidate
 
 /**
  * What one ingress daemon knows of the load of workers: its own requests in flight, and the load
@@ -20,7 +21,7 @@
  *
  * A pure state machine: times are in ms. Not thread-safe.
  */
-internal class LoadView(private val clockMs: () -> Long) {
+internal class LoadView(private val clockMs: () -> Long) : WorkerLoads {
     private class Entry {
         var own = 0
         var others = 0.0
@@ -33,15 +34,11 @@
 
     private val entries = HashMap<VmName, Entry>()
 
-    fun begin(vm: VmName) {
+    override fun begin(vm: VmName) {
         entry(vm).own++
     }
 
-    /**
-     * Ends an attempt at [vm]; [load] is what its daemon reported, null when it was not reached.
-     * [workerMs] is how long the worker had it, null when no worker had it.
-     */
-    fun end(vm: VmName, load: Load?, workerMs: Long?) {
+    override fun end(vm: VmName, kind: KindName, load: Load?, workerMs: Long?) {
         val entry = entry(vm)
         entry.own = (entry.own - 1).coerceAtLeast(0)
         if (load != null) report(entry, load)
@@ -50,8 +47,7 @@
 
     fun report(vm: VmName, load: Load) = report(entry(vm), load)
 
-    /** Prefers other workers than [vm] for [durationMs]. */
-    fun avoid(vm: VmName, durationMs: Long) {
+    override fun avoid(vm: VmName, durationMs: Long) {
         entry(vm).avoidUntilMs = clockMs() + durationMs
     }
 
@@ -108,7 +104,7 @@
  * still has room: the own data centre, then the own region, then anywhere.
  */
 internal fun nearestTwoChoices(locality: Locality, random: RandomGenerator, loads: LoadView): ChoicePolicy =
-    { candidates ->
+    { _, candidates ->
         val rings = candidates.groupBy { distance(locality, it) }.toSortedMap().values
         val ring = rings.firstOrNull { ring -> ring.any { loads.utilisation(it.vm) < FULL } }
         if (ring == null) {
--- a/endivestep/src/main/kotlin/org/endivestep/commands/RunDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/commands/RunDaemon.kt
@@ -8,6 +8,7 @@
 import org.endivestep.platform.readPlatformSettings
 import org.endivestep.settings.readDaemonSettings
 import sun.misc.Signal
+import java.io.File
 import java.io.IOException
 import java.util.concurrent.CountDownLatch
 
@@ -39,11 +40,27 @@
         }
     return untilStopped {
         val daemon = PlatformDaemon(settings)
+        // Without a handler, the signal ends the process.
+        Signal.handle(Signal("HUP")) { reload(daemon, path) }
         daemon.start()
         daemon::stop
     }
 }
 
+private fun reload(daemon: PlatformDaemon, path: String) {
+    val text =
+        try {
+            File(path).readText()
+        } catch (e: IOException) {
+            logger.error(e) { "the settings cannot be read again; those in force stay" }
+            return
+        }
+    when (val checked = readPlatformSettings(path, text)) {
+        is Checked.Invalid -> logger.error { "the changed settings are not taken: ${checked.findings}" }
+        is Checked.Valid -> daemon.reload(checked.value)
+    }
+}
+
 // The function that start returns stops the daemon and tells whether everything ended.
 private fun untilStopped(start: () -> () -> Boolean): ExitCode {
     val stop = CountDownLatch(1)
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/Daemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/Daemon.kt
@@ -31,6 +31,7 @@
 import org.endivestep.egress.probeOverHttp
 import org.endivestep.exchange.AttemptRequest
 import org.endivestep.exchange.monotonicMs
+import org.endivestep.identity.KindName
 import org.endivestep.identity.ServiceName
 import org.endivestep.identity.randomId
 import org.endivestep.ingress.Dispatcher
@@ -98,7 +99,7 @@
     private val crashes = CrashWatch(quarantine, inFlight, workers, ::listensAt) { supervision.died(it) }
     private val attempts = AttemptRegistry(::fenceKeptMs, ::monotonicMs)
     private val egress =
-        Egress(settings.dataCentre, ::document, admission, workers, attempts, crashes, jettyWorkerCall(WORKER_CONNECTIONS))
+        Egress(settings.dataCentre, ::document, admission, workers, attempts, crashes, call = jettyWorkerCall(WORKER_CONNECTIONS))
     private val channels = PeerChannels(security)
     private val exchanges = ExchangeClient(channels, pools.uploads)
     private val control = ControlClient(channels)
@@ -114,7 +115,7 @@
     private val claims = Claims(store, settings.vm, System::currentTimeMillis)
     private val droppedClaims = AtomicLong()
     private val keeper = ClaimKeeper(claims) { droppedClaims.incrementAndGet() }
-    private val dispatcher = Dispatcher(::routesOf, loads, ::choose, ::attempt)
+    private val dispatcher = Dispatcher(::routesOf, loads, ::choose, attempt = ::attempt)
     private val ingress = Ingress(::document, dispatcher, claims, keeper, counters)
     private val probes = ProbeDuty(egress, { workers.worker }, ::document, ::probeOverHttp) { supervision.gone(it) }
     private val refusedStrangers = AtomicLong()
@@ -225,9 +226,9 @@
         return routes(gossip.members, current, service, settings.vm)
     }
 
-    private fun choose(candidates: List<Candidate>): Candidate {
+    private fun choose(kind: KindName, candidates: List<Candidate>): Candidate {
         val region = document()?.dataCentres?.get(settings.dataCentre)?.region.orEmpty()
-        return nearestTwoChoices(Locality(settings.dataCentre, region), random, loads)(candidates)
+        return nearestTwoChoices(Locality(settings.dataCentre, region), random, loads)(kind, candidates)
     }
 
     private fun attempt(route: Route, request: AttemptRequest): AttemptResult =
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -4,10 +4,10 @@
 import io.grpc.BindableService
 import io.netty.channel.nio.NioEventLoopGroup
 import org.endivestep.admission.AdmissionQueue
-import org.endivestep.choice.Candidate
-import org.endivestep.choice.LoadView
+import org.endivestep.choice.CompletionEstimates
 import org.endivestep.choice.Locality
-import org.endivestep.choice.nearestTwoChoices
+import org.endivestep.choice.WorkTimes
+import org.endivestep.choice.earliestCompletion
 import org.endivestep.configuration.ConfigurationAdoption
 import org.endivestep.configuration.ConfigurationFetcher
 import org.endivestep.configuration.DataCentreOverride
@@ -38,6 +38,7 @@
 import org.endivestep.identity.randomId
 import org.endivestep.ingress.CallerEdge
 import org.endivestep.ingress.Dispatcher
+import org.endivestep.ingress.HandoverSettings
 import org.endivestep.ingress.Route
 import org.endivestep.ingress.RoutedIngress
 import org.endivestep.ingress.WeightedChoice
@@ -69,6 +70,8 @@
 import org.endivestep.protocol.ExchangeServer
 import org.endivestep.protocol.GossipCodec
 import org.endivestep.protocol.InnerSecurity
+import org.endivestep.protocol.LoadAudience
+import org.endivestep.protocol.LoadNotices
 import org.endivestep.protocol.PeerChannels
 import org.endivestep.protocol.executorOfCalls
 import org.endivestep.protocol.toInfo
@@ -97,7 +100,7 @@
 private const val EVENT_LOOP_THREADS = 2
 private val unlimited = LimitSettings(1, 1, 0, Double.MAX_VALUE, QUEUE_LENGTH, QUEUE_WAIT_MS)
 private const val QUEUE_LENGTH = 64
-private const val QUEUE_WAIT_MS = 400L
+private const val QUEUE_WAIT_MS = 800L
 private val quarantineSettings = QuarantineSettings(deaths = 2, durationMs = 60_000)
 
 /** A daemon on the users' platform: the product's parts, joined to the platform's messages and store. */
@@ -114,6 +117,7 @@
     private val overrides: Overrides = Overrides(System::currentTimeMillis) { follower.overridden() }
     private val adoption: ConfigurationAdoption =
         ConfigurationAdoption({ name, text -> readOperatorDocument(name, text, documentDefaults()) }) { follower.adopted(it) }
+    private val workTimes = WorkTimes()
     private val workers = WorkerRegistry()
     private val heartbeats = HeartbeatOrder()
     private val admission = AdmissionQueue(unlimited, ::monotonicMs)
@@ -129,8 +133,9 @@
             workers,
             attempts,
             crashes,
-            nettyWorkerCall(connections, platformHeaders),
             platformDialect,
+            { workTimes.usualMs(it.kind) },
+            nettyWorkerCall(connections, platformHeaders),
         )
     private val channels = PeerChannels(security)
     private val exchanges = ExchangeClient(channels, pools.uploads)
@@ -156,8 +161,23 @@
             random,
             CollectionListener(::evacuationsListed, ::evacuationChanged),
         )
-    private val loads = LoadView(::monotonicMs)
-    private val dispatcher = Dispatcher(::routesOf, loads, ::choose, ::attempt)
+    private val estimates = CompletionEstimates(workTimes, ::monotonicMs)
+    private val locality = Locality(settings.dataCentre, settings.dataCentres[settings.dataCentre].orEmpty())
+    private val dispatcher =
+        Dispatcher(
+            ::routesOf,
+            estimates,
+            earliestCompletion(locality, estimates),
+            HandoverSettings(MOST_HANDOVERS, HANDOVER_PATIENCE_MS),
+            ::attempt,
+        )
+    private val notices =
+        LoadNotices(
+            DatagramSocket(inner.port + LoadNotices.PORT_OFFSET, InetAddress.getByName(inner.host)),
+            LoadAudience(settings.vm, settings.dataCentre) { gossip.members },
+            { admission.load },
+            { vm, load -> synchronized(estimates) { estimates.report(vm, load) } },
+        )
     private val ingress =
         RoutedIngress(
             settings.service,
@@ -189,6 +209,8 @@
         evacuations.start()
         directory.start()
         fetcher.start()
+        admission.onLoad = notices::changed
+        notices.start()
         callers.start()
         logger.info { "daemon ${settings.vm.text} serves callers at ${settings.callers}" }
     }
@@ -203,9 +225,11 @@
         logger.info { "daemon ${settings.vm.text} is leaving" }
         gossip.stateSelf { it.copy(worker = it.worker?.copy(serving = false)) }
         Thread.sleep(NOTICE_MS)
+        val untilMs = startMs + settings.bounds.stopMs - STOP_MARGIN_MS
+        ingress.endAt(untilMs)
         callers.closeAfterAnswers()
         egress.stop()
-        val drained = awaitIdle(startMs + settings.bounds.stopMs - STOP_MARGIN_MS)
+        val drained = awaitIdle(untilMs)
         gossip.stateSelf { it.copy(state = MemberState.LEFT) }
         Thread.sleep(LEFT_SPREAD_MS)
         logger.info { "daemon ${settings.vm.text} has left; drained: $drained" }
@@ -220,6 +244,14 @@
         return ingress.activeCount == 0 && inFlight.count == 0
     }
 
+    /** Takes in that the settings file has changed; what this daemon has bound cannot change while it runs. */
+    fun reload(changed: PlatformSettings) {
+        if (changed.copy(bounds = settings.bounds) != settings) {
+            logger.warn { "settings that need a new start have changed and are passed over" }
+        }
+        logger.info { "settings were read again" }
+    }
+
     private fun isReady(): Boolean = !stopping && adoption.active != null
 
     private fun document(): Document? = overrides.document
@@ -291,11 +323,6 @@
         return routes(gossip.members, current, service, settings.vm)
     }
 
-    private fun choose(candidates: List<Candidate>): Candidate {
-        val region = settings.dataCentres[settings.dataCentre].orEmpty()
-        return nearestTwoChoices(Locality(settings.dataCentre, region), random, loads)(candidates)
-    }
-
     private fun attempt(route: Route, request: AttemptRequest): AttemptResult =
         if (route.isLocal) egress.run(request) { } else exchanges.attempt(route.peer, request)
 
@@ -339,11 +366,13 @@
 
         // The platform takes a daemon out after two questions, which it asks every second.
         const val NOTICE_MS = 2_400L
-        const val STOP_MARGIN_MS = 900L
+        const val STOP_MARGIN_MS = 600L
         const val LEFT_SPREAD_MS = 200L
         const val IDLE_CHECK_MS = 20L
         const val RETRY_RESERVE = 2
         const val MAX_ATTEMPTS = 3
+        const val MOST_HANDOVERS = 3
+        const val HANDOVER_PATIENCE_MS = 60L
         const val OVERLOADED_RETURN_MS = 250L
         const val USUAL_RETURN_MS = 100L
         const val LONGEST_RETURN_PARTS = 4
--- a/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
@@ -3,6 +3,7 @@
 import org.endivestep.admission.Admission
 import org.endivestep.admission.AdmissionLimit
 import org.endivestep.admission.AdmissionQueue
+import org.endivestep.admission.AdmissionRequest
 import org.endivestep.admission.Completion
 import org.endivestep.admission.Occupancy
 import org.endivestep.document.Document
@@ -30,8 +31,10 @@
     private val workers: WorkerRegistry,
     private val attempts: AttemptRegistry,
     private val crashes: CrashWatch,
-    private val call: WorkerCall,
     private val dialect: WorkerDialect = dialectOfService,
+    /** Returns the time in ms that the worker will probably take, 0 when unknown. */
+    private val expectedWorkMs: (AttemptRequest) -> Double = { 0.0 },
+    private val call: WorkerCall,
 ) {
     @Volatile
     private var stopping = false
@@ -62,7 +65,7 @@
         val standing = crashes.standing(request.fingerprint)
         if (standing == Standing.QUARANTINED) return refuse(NotRunReason.QUARANTINED)
         val occupancy = if (standing == Standing.LONE_SUSPECT) Occupancy.ALONE else Occupancy.SHARED
-        return when (val decision = admission.admit(patienceMs(request), occupancy, request.rank)) {
+        return when (val decision = admission.admit(admissionOf(request, occupancy))) {
             is Admission.Refused -> refuse(decision.reason)
             is Admission.Admitted -> runAdmitted(request, service, checkNotNull(worker), decision.permit, onAdmitted)
         }
@@ -80,7 +83,12 @@
         }
 
     // A request that would have no time left after waiting is better tried elsewhere.
-    private fun patienceMs(request: AttemptRequest): Long = request.deadline.remainingMs(monotonicMs()) / 2
+    private fun admissionOf(request: AttemptRequest, occupancy: Occupancy): AdmissionRequest {
+        val remainingMs = request.deadline.remainingMs(monotonicMs())
+        val workMs = expectedWorkMs(request)
+        val patienceMs = if (workMs > 0) remainingMs - (workMs * LEAST_WORK_SHARE).toLong() else remainingMs / 2
+        return AdmissionRequest(minOf(patienceMs, request.patienceMs), occupancy, request.rank, workMs)
+    }
 
     private fun runAdmitted(
         request: AttemptRequest,
@@ -170,4 +178,9 @@
     }
 
     private fun refuse(reason: NotRunReason): AttemptResult = AttemptResult.NotRun(reason, admission.load)
+
+    private companion object {
+        // Some work takes less than the usual time.
+        const val LEAST_WORK_SHARE = 0.7
+    }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/exchange/AttemptRequest.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/exchange/AttemptRequest.kt
@@ -32,4 +32,6 @@
     val deadline: Deadline,
     val fingerprint: Fingerprint,
     val rank: RequestRank = RequestRank(),
+    /** Greatest time in ms that the request may wait to be admitted. */
+    val patienceMs: Long = Long.MAX_VALUE,
 )
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/AttemptHistory.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/AttemptHistory.kt
@@ -9,6 +9,9 @@
     private var last: AttemptResult? = null
     private var unknown: AttemptResult.Unknown? = null
 
+    /** Refusals that met no worker and were taken elsewhere. */
+    var handovers = 0
+
     val count: Int get() = triedVms.size
 
     fun wasTried(vm: VmName): Boolean = vm in triedVms
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
@@ -2,7 +2,7 @@
 
 import org.endivestep.choice.Candidate
 import org.endivestep.choice.ChoicePolicy
-import org.endivestep.choice.LoadView
+import org.endivestep.choice.WorkerLoads
 import org.endivestep.document.RetrySettings
 import org.endivestep.exchange.AttemptRequest
 import org.endivestep.exchange.monotonicMs
@@ -22,11 +22,28 @@
 /** Returns the routes of a service at this moment. */
 internal typealias RouteLookup = (ServiceName) -> List<Route>
 
+/**
+ * How often a request that a daemon refused is taken to another one besides the retries, and how long
+ * in ms it may wait at a worker while others are left.
+ */
+internal data class HandoverSettings(val most: Int, val patienceMs: Long)
+
+private val unreachableReasons =
+    setOf(
+        NotRunReason.DAEMON_UNREACHABLE,
+        NotRunReason.FENCED,
+        NotRunReason.WORKER_UNREACHABLE,
+        NotRunReason.LEAVING,
+        NotRunReason.NO_WORKER,
+        NotRunReason.DATA_CENTRE_OUT,
+    )
+
 /** Chooses workers for a request and retries within the budget of its service. Thread-safe. */
 internal class Dispatcher(
     private val lookup: RouteLookup,
-    private val loads: LoadView,
+    private val loads: WorkerLoads,
     private val choose: ChoicePolicy,
+    private val handover: HandoverSettings = noHandover,
     private val attempt: AttemptCall,
 ) {
     private val budgets = HashMap<ServiceName, RetryBudget>()
@@ -37,8 +54,13 @@
         var attemptId = firstAttempt
         while (true) {
             val route = chooseRoute(call, history) ?: return history.outcome() ?: AttemptResult.NotRun(NotRunReason.NO_WORKER)
-            val result = tryOnce(route, call, attemptId)
+            val result = tryOnce(route, call, attemptId, patienceMs(call, history))
             history.add(route.candidate.vm, result)
+            if (handsOver(result, history)) {
+                history.handovers++
+                attemptId = AttemptId(randomId())
+                continue
+            }
             if (result is AttemptResult.Answered) withBudget(call) { it.noteAnswered() }
             val finished = nextStep(result, facts(call, history)) == NextStep.FINISH
             if (finished || (loadsWorkers(result) && !withBudget(call) { it.trySpend() })) return checkNotNull(history.outcome())
@@ -50,7 +72,7 @@
         RetryFacts(
             idempotent = call.kind.idempotent,
             replayable = call.replayable,
-            attempts = history.count,
+            attempts = history.count - history.handovers,
             maxAttempts = call.maxAttempts,
             remainingMs = call.deadline.remainingMs(monotonicMs()),
         )
@@ -60,38 +82,48 @@
         if (routes.isEmpty()) return null
         val chosen: Candidate =
             synchronized(loads) {
-                choose(routes.map { it.candidate }).also { loads.begin(it.vm) }
+                choose(call.kind.name, routes.map { it.candidate }).also { loads.begin(it.vm) }
             }
         return routes.first { it.candidate == chosen }
     }
 
-    private fun tryOnce(route: Route, call: IncomingCall, attemptId: AttemptId): AttemptResult {
+    private fun tryOnce(route: Route, call: IncomingCall, attemptId: AttemptId, patienceMs: Long): AttemptResult {
         val vm = route.candidate.vm
         val startMs = monotonicMs()
         var result: AttemptResult? = null
         try {
-            result = attempt(route, request(call, attemptId))
+            result = attempt(route, request(call, attemptId, patienceMs))
             return result
         } finally {
             synchronized(loads) {
-                loads.end(vm, result?.load, if (result is AttemptResult.NotRun) null else monotonicMs() - startMs)
+                loads.end(vm, call.kind.name, result?.load, if (result is AttemptResult.NotRun) null else monotonicMs() - startMs)
                 if (result == null || avoids(result)) loads.avoid(vm, AVOID_MS)
             }
         }
     }
 
     // An attempt that met no worker did not load one, so trying elsewhere multiplies no overload.
-    private fun loadsWorkers(result: AttemptResult): Boolean = result !is AttemptResult.NotRun || result.reason !in unreachable
+    private fun loadsWorkers(result: AttemptResult): Boolean = result !is AttemptResult.NotRun || result.reason !in unreachableReasons
 
     // A worker that cannot be reached, or that failed, gets no first choice for a moment.
     private fun avoids(result: AttemptResult): Boolean =
         when (result) {
             is AttemptResult.Answered -> false
             is AttemptResult.Unknown -> true
-            is AttemptResult.NotRun -> result.reason in unreachable
+            is AttemptResult.NotRun -> result.reason in unreachableReasons
         }
 
-    private fun request(call: IncomingCall, attemptId: AttemptId) =
+    // A refusal that met no worker costs nothing but its way, so the request may be taken to another one.
+    private fun handsOver(result: AttemptResult, history: AttemptHistory): Boolean =
+        result is AttemptResult.NotRun && result.reason in metNoWorker && history.handovers < handover.most
+
+    // A worker with a queue is waited for only when no other is left to be asked.
+    private fun patienceMs(call: IncomingCall, history: AttemptHistory): Long {
+        val othersLeft = lookup(call.service.name).count { !history.wasTried(it.candidate.vm) } > 1
+        return if (history.handovers < handover.most && othersLeft) handover.patienceMs else Long.MAX_VALUE
+    }
+
+    private fun request(call: IncomingCall, attemptId: AttemptId, patienceMs: Long) =
         AttemptRequest(
             requestId = call.id,
             attemptId = attemptId,
@@ -104,6 +136,7 @@
             deadline = call.deadline,
             fingerprint = call.fingerprint,
             rank = call.rank,
+            patienceMs = patienceMs,
         )
 
     private fun <T> withBudget(call: IncomingCall, use: (RetryBudget) -> T): T =
@@ -115,15 +148,8 @@
         }
 
     private companion object {
+        val noHandover = HandoverSettings(most = 0, patienceMs = Long.MAX_VALUE)
+        val metNoWorker = unreachableReasons + setOf(NotRunReason.OVERLOADED, NotRunReason.QUEUE_TIMEOUT, NotRunReason.COLD)
         const val AVOID_MS = 1_000L
-        val unreachable =
-            setOf(
-                NotRunReason.DAEMON_UNREACHABLE,
-                NotRunReason.FENCED,
-                NotRunReason.WORKER_UNREACHABLE,
-                NotRunReason.LEAVING,
-                NotRunReason.NO_WORKER,
-                NotRunReason.DATA_CENTRE_OUT,
-            )
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
@@ -47,9 +47,17 @@
 ) {
     private val active = AtomicInteger()
 
+    @Volatile
+    private var endMs = Long.MAX_VALUE
+
     /** Requests that have no answer yet. */
     val activeCount: Int get() = active.get()
 
+    /** Refuses from now on what may not be answered before [untilMs], when this daemon ends. */
+    fun endAt(untilMs: Long) {
+        endMs = untilMs
+    }
+
     /** Answers [request]; blocks. Throws [InterruptedException] when the caller has gone. */
     fun answer(request: CallerRequest): CallerReply {
         active.incrementAndGet()
@@ -71,6 +79,7 @@
                 ?: return refusal(request, rule, NotRunReason.UNKNOWN_SERVICE)
         val deadlineMs = request.header(headers.deadlineMs)?.toLongOrNull() ?: rule.timeoutMs
         val deadline = Deadline(request.arrivedMs + minOf(deadlineMs, rule.timeoutMs))
+        if (deadline.atMs > endMs) return refusal(request, rule, NotRunReason.LEAVING)
         val call = call(request, rule, service, requestId, deadline)
         return reply(request, rule, call, dispatch(call, AttemptId(randomId())))
     }
--- a/endivestep/src/test/kotlin/org/endivestep/admission/AdmissionModelTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/admission/AdmissionModelTest.kt
@@ -125,21 +125,21 @@
 
         test("a suspect runs alone") {
             val queue = AdmissionQueue(settings.copy(queueWaitMs = 0), { 0L })
-            val shared = queue.admit(0) as Admission.Admitted
-            queue.admit(0, Occupancy.ALONE) shouldBe Admission.Refused(NotRunReason.OVERLOADED)
+            val shared = queue.admit(AdmissionRequest(0)) as Admission.Admitted
+            queue.admit(AdmissionRequest(0, Occupancy.ALONE)) shouldBe Admission.Refused(NotRunReason.OVERLOADED)
             queue.release(shared.permit, Completion.Answered(1.0))
-            (queue.admit(0, Occupancy.ALONE) is Admission.Admitted) shouldBe true
-            queue.admit(0) shouldBe Admission.Refused(NotRunReason.OVERLOADED)
+            (queue.admit(AdmissionRequest(0, Occupancy.ALONE)) is Admission.Admitted) shouldBe true
+            queue.admit(AdmissionRequest(0)) shouldBe Admission.Refused(NotRunReason.OVERLOADED)
         }
 
         test("a closed queue refuses those that wait") {
             val queue = AdmissionQueue(settings, System::currentTimeMillis)
-            repeat(settings.cold) { queue.admit(0) }
-            val waiting = java.util.concurrent.CompletableFuture.supplyAsync { queue.admit(5_000) }
+            repeat(settings.cold) { queue.admit(AdmissionRequest(0)) }
+            val waiting = java.util.concurrent.CompletableFuture.supplyAsync { queue.admit(AdmissionRequest(5_000)) }
             Thread.sleep(5)
             queue.close(NotRunReason.LEAVING)
             waiting.get().let { it as Admission.Refused }
-            queue.admit(0) shouldBe Admission.Refused(NotRunReason.LEAVING)
+            queue.admit(AdmissionRequest(0)) shouldBe Admission.Refused(NotRunReason.LEAVING)
         }
     })
 
--- a/endivestep/src/test/kotlin/org/endivestep/choice/WorkerChoiceTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/choice/WorkerChoiceTest.kt
@@ -5,6 +5,7 @@
 import io.kotest.matchers.doubles.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import org.endivestep.identity.DataCentreName
+import org.endivestep.identity.KindName
 import org.endivestep.identity.VmName
 import org.endivestep.outcome.Load
 import java.util.SplittableRandom
@@ -44,7 +45,7 @@
     }
 
     private fun send(serviceMs: (Candidate) -> Long) {
-        val worker = policy(workers)
+        val worker = policy(KindName("read"), workers)
         view.begin(worker.vm)
         flights += Flight(worker, nowMs, nowMs + serviceMs(worker))
         chosen += nowMs to worker
@@ -55,7 +56,7 @@
         flights.removeAll(landed)
         landed.forEach { flight ->
             val inFlight = flights.count { it.worker == flight.worker }
-            view.end(flight.worker.vm, Load(inFlight, LIMIT), nowMs - flight.startMs)
+            view.end(flight.worker.vm, KindName("read"), Load(inFlight, LIMIT), nowMs - flight.startMs)
         }
     }
 }
@@ -74,7 +75,7 @@
                 Case(mapOf(local.vm to 1.2, near.vm to 1.5, far.vm to 1.1), far),
             ).forEach { case ->
                 val policy = nearestTwoChoices(here, SplittableRandom(1), viewOf(case.used))
-                policy(listOf(far, near, local)) shouldBe case.chosen
+                policy(KindName("read"), listOf(far, near, local)) shouldBe case.chosen
             }
         }
 
--- a/endivestep/src/test/kotlin/org/endivestep/fakes/EgressBench.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/fakes/EgressBench.kt
@@ -49,11 +49,11 @@
     val quarantine = quarantine ?: Quarantine(sampleDocument().quarantine, ::monotonicMs)
     val crashes = CrashWatch(this.quarantine, inFlight, workers, { listens }, { })
     val egress =
-        Egress(DataCentreName(dataCentre), { document }, admission, workers, attempts, crashes, { local, request ->
+        Egress(DataCentreName(dataCentre), { document }, admission, workers, attempts, crashes) { local, request ->
             val result = worker(local, request)
             if (ran(result)) runs.incrementAndGet()
             result
-        })
+        }
 
     init {
         announce(service, "run-1")
--- a/endivestep/src/test/kotlin/org/endivestep/fakes/RoundRobin.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/fakes/RoundRobin.kt
@@ -5,5 +5,5 @@
 /** Returns a policy that takes the candidates in turn. */
 internal fun roundRobin(): ChoicePolicy {
     var next = 0
-    return { candidates -> candidates[Math.floorMod(next++, candidates.size)] }
+    return { _, candidates -> candidates[Math.floorMod(next++, candidates.size)] }
 }
--- a/endivestep/src/test/kotlin/org/endivestep/matrix/MatrixBench.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/matrix/MatrixBench.kt
@@ -129,7 +129,7 @@
 
     private fun ingress(): Ingress {
         val dispatcher =
-            Dispatcher({ routes }, LoadView(::monotonicMs), { it.first() }) { route, request ->
+            Dispatcher({ routes }, LoadView(::monotonicMs), { _, candidates -> candidates.first() }) { route, request ->
                 if (route.candidate.vm.text == "near") wire(route, request) else run(route, request)
             }
         return Ingress({ sampleDocument() }, dispatcher, claims, keeper, OutcomeCounters(SimpleMeterRegistry()))
--- a/endivestep/src/test/kotlin/org/endivestep/matrix/RequestCells.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/matrix/RequestCells.kt
@@ -1,5 +1,6 @@
 package org.endivestep.matrix
 
+import org.endivestep.admission.AdmissionRequest
 import org.endivestep.egress.WorkerResult
 import org.endivestep.fakes.StoreFault
 import org.endivestep.fakes.answering
@@ -95,14 +96,14 @@
 
 internal val egressAdmission =
     StepCells().apply {
-        request(Fault.WORKER_COLD, Told.ANSWERED) { repeat(2) { near.admission.admit(0) } }
+        request(Fault.WORKER_COLD, Told.ANSWERED) { repeat(2) { near.admission.admit(AdmissionRequest(0)) } }
         request(Fault.WORKER_CRASH, Told.ANSWERED) { near.workers.died(checkNotNull(near.workers.worker).announcement.incarnation) }
         request(Fault.DRAIN, Told.ANSWERED) { near.document = sampleDocument().outOf("haarlem") }
         request(Fault.KILL, Told.ANSWERED) { near.egress.stop() }
         request(Fault.FREEZE_AND_WAKE, Told.ANSWERED) { near.announce("bestel", "run-1", leaving = true) }
         request(Fault.WORKER_SLOW, Told.NOT_RUN, Told.NOT_RUN) {
-            repeat(2) { near.admission.admit(0) }
-            repeat(2) { far.admission.admit(0) }
+            repeat(2) { near.admission.admit(AdmissionRequest(0)) }
+            repeat(2) { far.admission.admit(AdmissionRequest(0)) }
         }
         request(Fault.RACING_OPERATORS, Told.ANSWERED) { near.document = null }
         never("admission is a call within the daemon", Fault.CUT, Fault.SILENT_CONNECTION, Fault.DELAY, Fault.LOST_ANSWER)
--- a/protocol/src/main/java/org/endivestep/protocol/v1/Endivestep.java
+++ b/protocol/src/main/java/org/endivestep/protocol/v1/Endivestep.java
@@ -61,6 +61,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_endivestep_v1_LoadReport_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_endivestep_v1_LoadNotice_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_endivestep_v1_LoadNotice_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_endivestep_v1_Admitted_descriptor;
   static final 
@@ -207,87 +212,89 @@
       "step.v1.BodyChunkH\000\022%\n\003end\030\006 \001(\0132\026.endiv" +
       "estep.v1.BodyEndH\000B\007\n\005frame\"Y\n\nLoadRepor" +
       "t\022\021\n\tin_flight\030\001 \001(\005\022\r\n\005limit\030\002 \001(\005\022\017\n\007w" +
-      "aiting\030\003 \001(\005\022\030\n\020slowness_percent\030\004 \001(\005\"3" +
-      "\n\010Admitted\022\'\n\004load\030\001 \001(\0132\031.endivestep.v1" +
-      ".LoadReport\"P\n\006NotRun\022\016\n\006reason\030\001 \001(\t\022\'\n" +
-      "\004load\030\002 \001(\0132\031.endivestep.v1.LoadReport\022\r" +
-      "\n\005final\030\003 \001(\010\"B\n\007Unknown\022\016\n\006reason\030\001 \001(\t" +
-      "\022\'\n\004load\030\002 \001(\0132\031.endivestep.v1.LoadRepor" +
-      "t\"\271\001\n\nAnswerHead\022\022\n\nrequest_id\030\001 \001(\t\022\022\n\n" +
-      "attempt_id\030\002 \001(\t\022\016\n\006status\030\003 \001(\005\022&\n\007head" +
-      "ers\030\004 \003(\0132\025.endivestep.v1.Header\022\'\n\004load" +
-      "\030\005 \001(\0132\031.endivestep.v1.LoadReport\022\r\n\005who" +
-      "le\030\006 \001(\010\022\023\n\013inline_body\030\007 \001(\014\"N\n\014FenceRe" +
-      "quest\022\022\n\nattempt_id\030\001 \001(\t\022\032\n\022daemon_inca" +
-      "rnation\030\002 \001(\t\022\016\n\006age_ms\030\003 \001(\003\"\217\001\n\013FenceA" +
-      "nswer\022/\n\005state\030\001 \001(\0162 .endivestep.v1.Fen" +
-      "ceAnswer.State\"O\n\005State\022\017\n\013UNSPECIFIED\020\000" +
-      "\022\021\n\rNEVER_STARTED\020\001\022\013\n\007STARTED\020\002\022\025\n\021OTHE" +
-      "R_INCARNATION\020\003\"-\n\024ConfigurationRequest\022" +
-      "\025\n\rknown_version\030\001 \001(\003\"\224\001\n\023Configuration" +
-      "Record\022\017\n\007version\030\001 \001(\003\022\020\n\010document\030\002 \001(" +
-      "\t\022*\n\006change\030\003 \001(\0132\032.endivestep.v1.Change" +
-      "Entry\022.\n\rlatest_states\030\004 \003(\0132\027.endiveste" +
-      "p.v1.Override\"d\n\010Override\022\023\n\013data_centre" +
-      "\030\001 \001(\t\022\r\n\005state\030\002 \001(\t\022\021\n\tchange_id\030\003 \001(\t" +
-      "\022\020\n\010operator\030\004 \001(\t\022\017\n\007time_ms\030\005 \001(\003\"\201\001\n\013" +
-      "ChangeEntry\022\021\n\tchange_id\030\001 \001(\t\022\020\n\010operat" +
-      "or\030\002 \001(\t\022\017\n\007time_ms\030\003 \001(\003\022\024\n\014from_versio" +
-      "n\030\004 \001(\003\022\022\n\nto_version\030\005 \001(\003\022\022\n\ndifferenc" +
-      "e\030\006 \001(\t\"\304\002\n\006Member\022\n\n\002vm\030\001 \001(\t\022\014\n\004host\030\002" +
-      " \001(\t\022\022\n\ninner_port\030\003 \001(\005\022\023\n\013data_centre\030" +
-      "\004 \001(\t\022\032\n\022daemon_incarnation\030\005 \001(\t\022\020\n\010seq" +
-      "uence\030\006 \001(\003\022*\n\005state\030\007 \001(\0162\033.endivestep." +
-      "v1.Member.State\022\017\n\007service\030\010 \001(\t\022\032\n\022work" +
-      "er_incarnation\030\t \001(\t\022\026\n\016worker_serving\030\n" +
-      " \001(\010\022\022\n\nadmin_port\030\013 \001(\005\"D\n\005State\022\017\n\013UNS" +
-      "PECIFIED\020\000\022\t\n\005ALIVE\020\001\022\013\n\007SUSPECT\020\002\022\010\n\004DE" +
-      "AD\020\003\022\010\n\004LEFT\020\004\"T\n\tSuspicion\022\023\n\013fingerpri" +
-      "nt\030\001 \001(\t\022\016\n\006deaths\030\002 \003(\t\022\024\n\014remaining_ms" +
-      "\030\003 \001(\003\022\014\n\004lone\030\004 \001(\010\"\335\002\n\006Gossip\022(\n\004type\030" +
-      "\001 \001(\0162\032.endivestep.v1.Gossip.Type\022\014\n\004fro" +
-      "m\030\002 \001(\t\022\020\n\010sequence\030\003 \001(\003\022\016\n\006target\030\004 \001(" +
-      "\t\022\035\n\025configuration_version\030\005 \001(\003\022&\n\007memb" +
-      "ers\030\006 \003(\0132\025.endivestep.v1.Member\022,\n\nsusp" +
-      "icions\030\007 \003(\0132\030.endivestep.v1.Suspicion\022\016" +
-      "\n\006digest\030\010 \001(\006\022*\n\toverrides\030\t \003(\0132\027.endi" +
-      "vestep.v1.Override\"H\n\004Type\022\017\n\013UNSPECIFIE" +
-      "D\020\000\022\010\n\004PING\020\001\022\007\n\003ACK\020\002\022\020\n\014PING_REQUEST\020\003" +
-      "\022\n\n\006UPDATE\020\004\"2\n\014SignedGossip\022\017\n\007payload\030" +
-      "\001 \001(\014\022\021\n\tsignature\030\002 \001(\014\"f\n\017MembershipSt" +
-      "ate\022\014\n\004from\030\001 \001(\t\022&\n\007members\030\002 \003(\0132\025.end" +
-      "ivestep.v1.Member\022\035\n\025configuration_versi" +
-      "on\030\003 \001(\003\"\021\n\017CountersRequest\"\214\001\n\010Counters" +
-      "\022\n\n\002vm\030\001 \001(\t\022\023\n\013data_centre\030\002 \001(\t\022\035\n\025con" +
-      "figuration_version\030\003 \001(\003\022-\n\010outcomes\030\004 \003" +
-      "(\0132\033.endivestep.v1.OutcomeCount\022\021\n\toverr" +
-      "ides\030\005 \003(\t\"M\n\014OutcomeCount\022\017\n\007service\030\001 " +
-      "\001(\t\022\014\n\004kind\030\002 \001(\t\022\017\n\007outcome\030\003 \001(\t\022\r\n\005co" +
-      "unt\030\004 \001(\003\"\266\002\n\013ClaimRecord\022/\n\005state\030\001 \001(\016" +
-      "2 .endivestep.v1.ClaimRecord.State\022\022\n\nat" +
-      "tempt_id\030\002 \001(\t\022\n\n\002vm\030\003 \001(\t\022\017\n\007time_ms\030\004 " +
-      "\001(\003\022\023\n\013fingerprint\030\005 \001(\t\022\016\n\006status\030\006 \001(\005" +
-      "\022&\n\007headers\030\007 \003(\0132\025.endivestep.v1.Header" +
-      "\022\014\n\004body\030\010 \001(\014\022\021\n\tbody_kept\030\t \001(\010\"W\n\005Sta" +
-      "te\022\017\n\013UNSPECIFIED\020\000\022\013\n\007CLAIMED\020\001\022\r\n\tCOMP" +
-      "LETED\020\002\022\014\n\010RELEASED\020\003\022\023\n\017UNKNOWN_OUTCOME" +
-      "\020\004\"4\n\nRendezvous\022&\n\007members\030\001 \003(\0132\025.endi" +
-      "vestep.v1.Member\">\n\rSignInRefusal\022\014\n\004nam" +
-      "e\030\001 \001(\t\022\016\n\006source\030\002 \001(\t\022\017\n\007time_ms\030\003 \001(\003" +
-      "\"C\n\021SignInRefusalList\022.\n\010refusals\030\001 \003(\0132" +
-      "\034.endivestep.v1.SignInRefusal2\226\001\n\tExchan" +
-      "ges\022G\n\010Exchange\022\033.endivestep.v1.RequestF" +
-      "rame\032\032.endivestep.v1.AnswerFrame(\0010\001\022@\n\005" +
-      "Fence\022\033.endivestep.v1.FenceRequest\032\032.end" +
-      "ivestep.v1.FenceAnswer2\200\002\n\007Control\022]\n\022Fe" +
-      "tchConfiguration\022#.endivestep.v1.Configu" +
-      "rationRequest\032\".endivestep.v1.Configurat" +
-      "ionRecord\022M\n\013Synchronize\022\036.endivestep.v1" +
-      ".MembershipState\032\036.endivestep.v1.Members" +
-      "hipState\022G\n\014ReadCounters\022\036.endivestep.v1" +
-      ".CountersRequest\032\027.endivestep.v1.Counter" +
-      "sB\036\n\032org.endivestep.protocol.v1P\001b\006proto" +
-      "3"
+      "aiting\030\003 \001(\005\022\030\n\020slowness_percent\030\004 \001(\005\"S" +
+      "\n\nLoadNotice\022\n\n\002vm\030\001 \001(\t\022\'\n\004load\030\002 \001(\0132\031" +
+      ".endivestep.v1.LoadReport\022\020\n\010sequence\030\003 " +
+      "\001(\003\"3\n\010Admitted\022\'\n\004load\030\001 \001(\0132\031.endivest" +
+      "ep.v1.LoadReport\"P\n\006NotRun\022\016\n\006reason\030\001 \001" +
+      "(\t\022\'\n\004load\030\002 \001(\0132\031.endivestep.v1.LoadRep" +
+      "ort\022\r\n\005final\030\003 \001(\010\"B\n\007Unknown\022\016\n\006reason\030" +
+      "\001 \001(\t\022\'\n\004load\030\002 \001(\0132\031.endivestep.v1.Load" +
+      "Report\"\271\001\n\nAnswerHead\022\022\n\nrequest_id\030\001 \001(" +
+      "\t\022\022\n\nattempt_id\030\002 \001(\t\022\016\n\006status\030\003 \001(\005\022&\n" +
+      "\007headers\030\004 \003(\0132\025.endivestep.v1.Header\022\'\n" +
+      "\004load\030\005 \001(\0132\031.endivestep.v1.LoadReport\022\r" +
+      "\n\005whole\030\006 \001(\010\022\023\n\013inline_body\030\007 \001(\014\"N\n\014Fe" +
+      "nceRequest\022\022\n\nattempt_id\030\001 \001(\t\022\032\n\022daemon" +
+      "_incarnation\030\002 \001(\t\022\016\n\006age_ms\030\003 \001(\003\"\217\001\n\013F" +
+      "enceAnswer\022/\n\005state\030\001 \001(\0162 .endivestep.v" +
+      "1.FenceAnswer.State\"O\n\005State\022\017\n\013UNSPECIF" +
+      "IED\020\000\022\021\n\rNEVER_STARTED\020\001\022\013\n\007STARTED\020\002\022\025\n" +
+      "\021OTHER_INCARNATION\020\003\"-\n\024ConfigurationReq" +
+      "uest\022\025\n\rknown_version\030\001 \001(\003\"\224\001\n\023Configur" +
+      "ationRecord\022\017\n\007version\030\001 \001(\003\022\020\n\010document" +
+      "\030\002 \001(\t\022*\n\006change\030\003 \001(\0132\032.endivestep.v1.C" +
+      "hangeEntry\022.\n\rlatest_states\030\004 \003(\0132\027.endi" +
+      "vestep.v1.Override\"d\n\010Override\022\023\n\013data_c" +
+      "entre\030\001 \001(\t\022\r\n\005state\030\002 \001(\t\022\021\n\tchange_id\030" +
+      "\003 \001(\t\022\020\n\010operator\030\004 \001(\t\022\017\n\007time_ms\030\005 \001(\003" +
+      "\"\201\001\n\013ChangeEntry\022\021\n\tchange_id\030\001 \001(\t\022\020\n\010o" +
+      "perator\030\002 \001(\t\022\017\n\007time_ms\030\003 \001(\003\022\024\n\014from_v" +
+      "ersion\030\004 \001(\003\022\022\n\nto_version\030\005 \001(\003\022\022\n\ndiff" +
+      "erence\030\006 \001(\t\"\304\002\n\006Member\022\n\n\002vm\030\001 \001(\t\022\014\n\004h" +
+      "ost\030\002 \001(\t\022\022\n\ninner_port\030\003 \001(\005\022\023\n\013data_ce" +
+      "ntre\030\004 \001(\t\022\032\n\022daemon_incarnation\030\005 \001(\t\022\020" +
+      "\n\010sequence\030\006 \001(\003\022*\n\005state\030\007 \001(\0162\033.endive" +
+      "step.v1.Member.State\022\017\n\007service\030\010 \001(\t\022\032\n" +
+      "\022worker_incarnation\030\t \001(\t\022\026\n\016worker_serv" +
+      "ing\030\n \001(\010\022\022\n\nadmin_port\030\013 \001(\005\"D\n\005State\022\017" +
+      "\n\013UNSPECIFIED\020\000\022\t\n\005ALIVE\020\001\022\013\n\007SUSPECT\020\002\022" +
+      "\010\n\004DEAD\020\003\022\010\n\004LEFT\020\004\"T\n\tSuspicion\022\023\n\013fing" +
+      "erprint\030\001 \001(\t\022\016\n\006deaths\030\002 \003(\t\022\024\n\014remaini" +
+      "ng_ms\030\003 \001(\003\022\014\n\004lone\030\004 \001(\010\"\335\002\n\006Gossip\022(\n\004" +
+      "type\030\001 \001(\0162\032.endivestep.v1.Gossip.Type\022\014" +
+      "\n\004from\030\002 \001(\t\022\020\n\010sequence\030\003 \001(\003\022\016\n\006target" +
+      "\030\004 \001(\t\022\035\n\025configuration_version\030\005 \001(\003\022&\n" +
+      "\007members\030\006 \003(\0132\025.endivestep.v1.Member\022,\n" +
+      "\nsuspicions\030\007 \003(\0132\030.endivestep.v1.Suspic" +
+      "ion\022\016\n\006digest\030\010 \001(\006\022*\n\toverrides\030\t \003(\0132\027" +
+      ".endivestep.v1.Override\"H\n\004Type\022\017\n\013UNSPE" +
+      "CIFIED\020\000\022\010\n\004PING\020\001\022\007\n\003ACK\020\002\022\020\n\014PING_REQU" +
+      "EST\020\003\022\n\n\006UPDATE\020\004\"2\n\014SignedGossip\022\017\n\007pay" +
+      "load\030\001 \001(\014\022\021\n\tsignature\030\002 \001(\014\"f\n\017Members" +
+      "hipState\022\014\n\004from\030\001 \001(\t\022&\n\007members\030\002 \003(\0132" +
+      "\025.endivestep.v1.Member\022\035\n\025configuration_" +
+      "version\030\003 \001(\003\"\021\n\017CountersRequest\"\214\001\n\010Cou" +
+      "nters\022\n\n\002vm\030\001 \001(\t\022\023\n\013data_centre\030\002 \001(\t\022\035" +
+      "\n\025configuration_version\030\003 \001(\003\022-\n\010outcome" +
+      "s\030\004 \003(\0132\033.endivestep.v1.OutcomeCount\022\021\n\t" +
+      "overrides\030\005 \003(\t\"M\n\014OutcomeCount\022\017\n\007servi" +
+      "ce\030\001 \001(\t\022\014\n\004kind\030\002 \001(\t\022\017\n\007outcome\030\003 \001(\t\022" +
+      "\r\n\005count\030\004 \001(\003\"\266\002\n\013ClaimRecord\022/\n\005state\030" +
+      "\001 \001(\0162 .endivestep.v1.ClaimRecord.State\022" +
+      "\022\n\nattempt_id\030\002 \001(\t\022\n\n\002vm\030\003 \001(\t\022\017\n\007time_" +
+      "ms\030\004 \001(\003\022\023\n\013fingerprint\030\005 \001(\t\022\016\n\006status\030" +
+      "\006 \001(\005\022&\n\007headers\030\007 \003(\0132\025.endivestep.v1.H" +
+      "eader\022\014\n\004body\030\010 \001(\014\022\021\n\tbody_kept\030\t \001(\010\"W" +
+      "\n\005State\022\017\n\013UNSPECIFIED\020\000\022\013\n\007CLAIMED\020\001\022\r\n" +
+      "\tCOMPLETED\020\002\022\014\n\010RELEASED\020\003\022\023\n\017UNKNOWN_OU" +
+      "TCOME\020\004\"4\n\nRendezvous\022&\n\007members\030\001 \003(\0132\025" +
+      ".endivestep.v1.Member\">\n\rSignInRefusal\022\014" +
+      "\n\004name\030\001 \001(\t\022\016\n\006source\030\002 \001(\t\022\017\n\007time_ms\030" +
+      "\003 \001(\003\"C\n\021SignInRefusalList\022.\n\010refusals\030\001" +
+      " \003(\0132\034.endivestep.v1.SignInRefusal2\226\001\n\tE" +
+      "xchanges\022G\n\010Exchange\022\033.endivestep.v1.Req" +
+      "uestFrame\032\032.endivestep.v1.AnswerFrame(\0010" +
+      "\001\022@\n\005Fence\022\033.endivestep.v1.FenceRequest\032" +
+      "\032.endivestep.v1.FenceAnswer2\200\002\n\007Control\022" +
+      "]\n\022FetchConfiguration\022#.endivestep.v1.Co" +
+      "nfigurationRequest\032\".endivestep.v1.Confi" +
+      "gurationRecord\022M\n\013Synchronize\022\036.endivest" +
+      "ep.v1.MembershipState\032\036.endivestep.v1.Me" +
+      "mbershipState\022G\n\014ReadCounters\022\036.endivest" +
+      "ep.v1.CountersRequest\032\027.endivestep.v1.Co" +
+      "untersB\036\n\032org.endivestep.protocol.v1P\001b\006" +
+      "proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -335,134 +342,140 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_LoadReport_descriptor,
         new java.lang.String[] { "InFlight", "Limit", "Waiting", "SlownessPercent", });
-    internal_static_endivestep_v1_Admitted_descriptor =
+    internal_static_endivestep_v1_LoadNotice_descriptor =
       getDescriptor().getMessageTypes().get(7);
+    internal_static_endivestep_v1_LoadNotice_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_endivestep_v1_LoadNotice_descriptor,
+        new java.lang.String[] { "Vm", "Load", "Sequence", });
+    internal_static_endivestep_v1_Admitted_descriptor =
+      getDescriptor().getMessageTypes().get(8);
     internal_static_endivestep_v1_Admitted_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_Admitted_descriptor,
         new java.lang.String[] { "Load", });
     internal_static_endivestep_v1_NotRun_descriptor =
-      getDescriptor().getMessageTypes().get(8);
+      getDescriptor().getMessageTypes().get(9);
     internal_static_endivestep_v1_NotRun_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_NotRun_descriptor,
         new java.lang.String[] { "Reason", "Load", "Final", });
     internal_static_endivestep_v1_Unknown_descriptor =
-      getDescriptor().getMessageTypes().get(9);
+      getDescriptor().getMessageTypes().get(10);
     internal_static_endivestep_v1_Unknown_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_Unknown_descriptor,
         new java.lang.String[] { "Reason", "Load", });
     internal_static_endivestep_v1_AnswerHead_descriptor =
-      getDescriptor().getMessageTypes().get(10);
+      getDescriptor().getMessageTypes().get(11);
     internal_static_endivestep_v1_AnswerHead_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_AnswerHead_descriptor,
         new java.lang.String[] { "RequestId", "AttemptId", "Status", "Headers", "Load", "Whole", "InlineBody", });
     internal_static_endivestep_v1_FenceRequest_descriptor =
-      getDescriptor().getMessageTypes().get(11);
+      getDescriptor().getMessageTypes().get(12);
     internal_static_endivestep_v1_FenceRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_FenceRequest_descriptor,
         new java.lang.String[] { "AttemptId", "DaemonIncarnation", "AgeMs", });
     internal_static_endivestep_v1_FenceAnswer_descriptor =
-      getDescriptor().getMessageTypes().get(12);
+      getDescriptor().getMessageTypes().get(13);
     internal_static_endivestep_v1_FenceAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_FenceAnswer_descriptor,
         new java.lang.String[] { "State", });
     internal_static_endivestep_v1_ConfigurationRequest_descriptor =
-      getDescriptor().getMessageTypes().get(13);
+      getDescriptor().getMessageTypes().get(14);
     internal_static_endivestep_v1_ConfigurationRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_ConfigurationRequest_descriptor,
         new java.lang.String[] { "KnownVersion", });
     internal_static_endivestep_v1_ConfigurationRecord_descriptor =
-      getDescriptor().getMessageTypes().get(14);
+      getDescriptor().getMessageTypes().get(15);
     internal_static_endivestep_v1_ConfigurationRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_ConfigurationRecord_descriptor,
         new java.lang.String[] { "Version", "Document", "Change", "LatestStates", });
     internal_static_endivestep_v1_Override_descriptor =
-      getDescriptor().getMessageTypes().get(15);
+      getDescriptor().getMessageTypes().get(16);
     internal_static_endivestep_v1_Override_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_Override_descriptor,
         new java.lang.String[] { "DataCentre", "State", "ChangeId", "Operator", "TimeMs", });
     internal_static_endivestep_v1_ChangeEntry_descriptor =
-      getDescriptor().getMessageTypes().get(16);
+      getDescriptor().getMessageTypes().get(17);
     internal_static_endivestep_v1_ChangeEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_ChangeEntry_descriptor,
         new java.lang.String[] { "ChangeId", "Operator", "TimeMs", "FromVersion", "ToVersion", "Difference", });
     internal_static_endivestep_v1_Member_descriptor =
-      getDescriptor().getMessageTypes().get(17);
+      getDescriptor().getMessageTypes().get(18);
     internal_static_endivestep_v1_Member_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_Member_descriptor,
         new java.lang.String[] { "Vm", "Host", "InnerPort", "DataCentre", "DaemonIncarnation", "Sequence", "State", "Service", "WorkerIncarnation", "WorkerServing", "AdminPort", });
     internal_static_endivestep_v1_Suspicion_descriptor =
-      getDescriptor().getMessageTypes().get(18);
+      getDescriptor().getMessageTypes().get(19);
     internal_static_endivestep_v1_Suspicion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_Suspicion_descriptor,
         new java.lang.String[] { "Fingerprint", "Deaths", "RemainingMs", "Lone", });
     internal_static_endivestep_v1_Gossip_descriptor =
-      getDescriptor().getMessageTypes().get(19);
+      getDescriptor().getMessageTypes().get(20);
     internal_static_endivestep_v1_Gossip_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_Gossip_descriptor,
         new java.lang.String[] { "Type", "From", "Sequence", "Target", "ConfigurationVersion", "Members", "Suspicions", "Digest", "Overrides", });
     internal_static_endivestep_v1_SignedGossip_descriptor =
-      getDescriptor().getMessageTypes().get(20);
+      getDescriptor().getMessageTypes().get(21);
     internal_static_endivestep_v1_SignedGossip_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_SignedGossip_descriptor,
         new java.lang.String[] { "Payload", "Signature", });
     internal_static_endivestep_v1_MembershipState_descriptor =
-      getDescriptor().getMessageTypes().get(21);
+      getDescriptor().getMessageTypes().get(22);
     internal_static_endivestep_v1_MembershipState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_MembershipState_descriptor,
         new java.lang.String[] { "From", "Members", "ConfigurationVersion", });
     internal_static_endivestep_v1_CountersRequest_descriptor =
-      getDescriptor().getMessageTypes().get(22);
+      getDescriptor().getMessageTypes().get(23);
     internal_static_endivestep_v1_CountersRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_CountersRequest_descriptor,
         new java.lang.String[] { });
     internal_static_endivestep_v1_Counters_descriptor =
-      getDescriptor().getMessageTypes().get(23);
+      getDescriptor().getMessageTypes().get(24);
     internal_static_endivestep_v1_Counters_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_Counters_descriptor,
         new java.lang.String[] { "Vm", "DataCentre", "ConfigurationVersion", "Outcomes", "Overrides", });
     internal_static_endivestep_v1_OutcomeCount_descriptor =
-      getDescriptor().getMessageTypes().get(24);
+      getDescriptor().getMessageTypes().get(25);
     internal_static_endivestep_v1_OutcomeCount_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_OutcomeCount_descriptor,
         new java.lang.String[] { "Service", "Kind", "Outcome", "Count", });
     internal_static_endivestep_v1_ClaimRecord_descriptor =
-      getDescriptor().getMessageTypes().get(25);
+      getDescriptor().getMessageTypes().get(26);
     internal_static_endivestep_v1_ClaimRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_ClaimRecord_descriptor,
         new java.lang.String[] { "State", "AttemptId", "Vm", "TimeMs", "Fingerprint", "Status", "Headers", "Body", "BodyKept", });
     internal_static_endivestep_v1_Rendezvous_descriptor =
-      getDescriptor().getMessageTypes().get(26);
+      getDescriptor().getMessageTypes().get(27);
     internal_static_endivestep_v1_Rendezvous_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_Rendezvous_descriptor,
         new java.lang.String[] { "Members", });
     internal_static_endivestep_v1_SignInRefusal_descriptor =
-      getDescriptor().getMessageTypes().get(27);
+      getDescriptor().getMessageTypes().get(28);
     internal_static_endivestep_v1_SignInRefusal_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_SignInRefusal_descriptor,
         new java.lang.String[] { "Name", "Source", "TimeMs", });
     internal_static_endivestep_v1_SignInRefusalList_descriptor =
-      getDescriptor().getMessageTypes().get(28);
+      getDescriptor().getMessageTypes().get(29);
     internal_static_endivestep_v1_SignInRefusalList_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_SignInRefusalList_descriptor,
