--- a/endivestep/src/main/kotlin/org/endivestep/choice/CompletionEstimates.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/choice/CompletionEstimates.kt
@@ -11,7 +11,7 @@
  * A worker that takes longer than its stated slowness explains gets a factor of its own, which fades
  * when nothing confirms it. A pure state machine: times are in ms. Not thread-safe.
  */
-internal class CompletionEstimates(private val times: WorkTimes, private val clockMs: () -> Long) : WorkerLoads {
+internal class CompletionEstimates(private val profiles: KindProfiles, private val clockMs: () -> Long) : WorkerLoads {
     private class Entry {
         var own = 0
         var ownAtReport = 0
@@ -33,7 +33,7 @@
         entry.own = (entry.own - 1).coerceAtLeast(0)
         if (workerMs != null) {
             learnFactor(entry, kind, workerMs)
-            times.observed(kind, workerMs.toDouble())
+            profiles.observed(kind, workerMs.toDouble())
         }
         if (load != null) report(vm, load)
     }
@@ -50,9 +50,12 @@
         entry.ownAtReport = entry.own
     }
 
+    /** Returns the usual length in bytes of an answer of [kind]. */
+    fun usualAnswerBytes(kind: KindName): Double = profiles.usualBytes(kind)
+
     /** Returns the time in ms until [vm] would have completed a request of [kind] that is sent now. */
     fun expectedMs(vm: VmName, kind: KindName): Double {
-        val usualMs = times.usualMs(kind)
+        val usualMs = profiles.usualMs(kind)
         val entry = entries[vm] ?: return completionMs(usualMs, 0)
         val nowMs = clockMs()
         val avoidedMs = if (nowMs < entry.avoidUntilMs) AVOIDED_MS else 0.0
@@ -71,7 +74,7 @@
     }
 
     private fun learnFactor(entry: Entry, kind: KindName, workerMs: Long) {
-        val usualMs = times.usualMs(kind)
+        val usualMs = profiles.usualMs(kind)
         val sample = (workerMs / usualMs.coerceAtLeast(1.0)).coerceIn(1.0, MAX_FACTOR)
         val nowMs = clockMs()
         entry.factor = factor(entry, nowMs) + (sample - factor(entry, nowMs)) * FACTOR_WEIGHT
@@ -100,16 +103,21 @@
  * must be better by what its distance costs.
  */
 internal fun earliestCompletion(locality: Locality, estimates: CompletionEstimates): ChoicePolicy =
-    { kind, candidates ->
-        candidates.shuffled().minBy { estimates.expectedMs(it.vm, kind) + distanceMs(locality, it) }
+    { subject, candidates ->
+        val kilobytes = (subject.bytes + estimates.usualAnswerBytes(subject.kind)) / BYTES_A_KILOBYTE
+        candidates.shuffled().minBy { estimates.expectedMs(it.vm, subject.kind) + distanceMs(locality, it, kilobytes) }
     }
 
-private const val OTHER_DATA_CENTRE_MS = 50.0
+private const val BYTES_A_KILOBYTE = 1_024.0
+
+// Traffic between data centres costs by its bytes; a request and an answer have about a kilobyte of heads.
+private const val MS_A_KILOBYTE = 12.0
+private const val HEAD_KILOBYTES = 1.0
 private const val OTHER_REGION_MS = 1_000.0
 
-private fun distanceMs(from: Locality, candidate: Candidate): Double =
+private fun distanceMs(from: Locality, candidate: Candidate, kilobytes: Double): Double =
     when {
         candidate.dataCentre == from.dataCentre -> 0.0
-        candidate.region == from.region -> OTHER_DATA_CENTRE_MS
+        candidate.region == from.region -> (kilobytes + HEAD_KILOBYTES) * MS_A_KILOBYTE
         else -> OTHER_REGION_MS
     }
--- a/endivestep/src/main/kotlin/org/endivestep/choice/WorkTimes.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/choice/KindProfiles.kt
@@ -4,18 +4,29 @@
 import java.util.concurrent.ConcurrentHashMap
 
 /**
- * Usual time in ms that a worker takes for each kind of request, learned from answers.
+ * Usual time in ms that a worker takes for each kind of request, and the usual size of its answer,
+ * learned from answers.
  *
  * It follows short times quickly and long ones slowly, so that what it tells is the time at a worker
  * that nothing slows down. Thread-safe.
  */
-internal class WorkTimes {
+internal class KindProfiles {
     private val usualMs = ConcurrentHashMap<KindName, Double>()
 
     fun observed(kind: KindName, elapsedMs: Double) {
         usualMs.merge(kind, elapsedMs) { known, _ -> known + (elapsedMs - known) * weight(known, elapsedMs) }
     }
 
+    private val answerBytes = ConcurrentHashMap<KindName, Double>()
+
+    /** Notes that an answer to a request of [kind] had a body of [bytes]. */
+    fun answered(kind: KindName, bytes: Long) {
+        answerBytes.merge(kind, bytes.toDouble()) { known, _ -> known + (bytes - known) * SIZE_WEIGHT }
+    }
+
+    /** Returns the usual length in bytes of the body of an answer, 0 before the first one. */
+    fun usualBytes(kind: KindName): Double = answerBytes[kind] ?: 0.0
+
     /** Returns the usual time of [kind], or [UNKNOWN_MS] before its first answer. */
     fun usualMs(kind: KindName): Double = usualMs[kind] ?: UNKNOWN_MS
 
@@ -23,6 +34,7 @@
 
     companion object {
         const val UNKNOWN_MS = 100.0
+        private const val SIZE_WEIGHT = 0.1
         private const val FALL_WEIGHT = 0.1
         private const val RISE_WEIGHT = 0.03
     }
--- a/endivestep/src/main/kotlin/org/endivestep/choice/WorkerChoice.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/choice/WorkerChoice.kt
@@ -13,7 +13,10 @@
 internal data class Locality(val dataCentre: DataCentreName, val region: String)
 
 /** Chooses one of the candidates, which are never empty. */
-internal typealias ChoicePolicy = (kind: KindName, candidates: List<Candidate>) -> Candidate
+internal typealias ChoicePolicy = (subject: ChoiceSubject, candidates: List<Candidate>) -> Candidate
+
+/** What a worker is chosen for: a request of [kind] with a body of [bytes]. */
+internal data class ChoiceSubject(val kind: KindName, val bytes: Long = 0)
 
 /**
  * What one ingress daemon knows of the load of workers: its own requests in flight, and the load
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/Daemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/Daemon.kt
@@ -4,6 +4,7 @@
 import io.grpc.BindableService
 import org.endivestep.admission.AdmissionQueue
 import org.endivestep.choice.Candidate
+import org.endivestep.choice.ChoiceSubject
 import org.endivestep.choice.LoadView
 import org.endivestep.choice.Locality
 import org.endivestep.choice.nearestTwoChoices
@@ -31,7 +32,6 @@
 import org.endivestep.egress.probeOverHttp
 import org.endivestep.exchange.AttemptRequest
 import org.endivestep.exchange.monotonicMs
-import org.endivestep.identity.KindName
 import org.endivestep.identity.ServiceName
 import org.endivestep.identity.randomId
 import org.endivestep.ingress.Dispatcher
@@ -226,9 +226,9 @@
         return routes(gossip.members, current, service, settings.vm)
     }
 
-    private fun choose(kind: KindName, candidates: List<Candidate>): Candidate {
+    private fun choose(subject: ChoiceSubject, candidates: List<Candidate>): Candidate {
         val region = document()?.dataCentres?.get(settings.dataCentre)?.region.orEmpty()
-        return nearestTwoChoices(Locality(settings.dataCentre, region), random, loads)(kind, candidates)
+        return nearestTwoChoices(Locality(settings.dataCentre, region), random, loads)(subject, candidates)
     }
 
     private fun attempt(route: Route, request: AttemptRequest): AttemptResult =
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -6,7 +6,7 @@
 import org.endivestep.admission.AdmissionQueue
 import org.endivestep.choice.CompletionEstimates
 import org.endivestep.choice.Locality
-import org.endivestep.choice.WorkTimes
+import org.endivestep.choice.KindProfiles
 import org.endivestep.choice.earliestCompletion
 import org.endivestep.configuration.ConfigurationAdoption
 import org.endivestep.configuration.ConfigurationFetcher
@@ -33,12 +33,14 @@
 import org.endivestep.exchange.AttemptRequest
 import org.endivestep.exchange.monotonicMs
 import org.endivestep.http.HttpConnections
+import org.endivestep.identity.AttemptId
 import org.endivestep.identity.DataCentreName
 import org.endivestep.identity.ServiceName
 import org.endivestep.identity.randomId
 import org.endivestep.ingress.CallerEdge
 import org.endivestep.ingress.Dispatcher
 import org.endivestep.ingress.HandoverSettings
+import org.endivestep.ingress.IncomingCall
 import org.endivestep.ingress.Route
 import org.endivestep.ingress.RoutedIngress
 import org.endivestep.ingress.WeightedChoice
@@ -58,6 +60,7 @@
 import org.endivestep.platform.OperatorObjects
 import org.endivestep.platform.PlatformSettings
 import org.endivestep.platform.heartbeatEndpoint
+import org.endivestep.platform.metricsEndpoint
 import org.endivestep.platform.platformDialect
 import org.endivestep.platform.platformHeaders
 import org.endivestep.platform.platformStore
@@ -117,7 +120,7 @@
     private val overrides: Overrides = Overrides(System::currentTimeMillis) { follower.overridden() }
     private val adoption: ConfigurationAdoption =
         ConfigurationAdoption({ name, text -> readOperatorDocument(name, text, documentDefaults()) }) { follower.adopted(it) }
-    private val workTimes = WorkTimes()
+    private val profiles = KindProfiles()
     private val workers = WorkerRegistry()
     private val heartbeats = HeartbeatOrder()
     private val admission = AdmissionQueue(unlimited, ::monotonicMs)
@@ -134,7 +137,7 @@
             attempts,
             crashes,
             platformDialect,
-            { workTimes.usualMs(it.kind) },
+            { profiles.usualMs(it.kind) },
             nettyWorkerCall(connections, platformHeaders),
         )
     private val channels = PeerChannels(security)
@@ -154,14 +157,14 @@
             random,
             CollectionListener({ listed -> listed.items.forEach(::offer) }, { if (!it.deleted) offer(it.item) }),
         )
-    private val evacuations =
+    private val dataCentreStates =
         CollectionFollower(
             store,
-            CollectionName(OperatorObjects.EVACUATIONS),
+            CollectionName(OperatorObjects.DATA_CENTRES_OUT),
             random,
-            CollectionListener(::evacuationsListed, ::evacuationChanged),
+            CollectionListener(::statesListed, ::stateChanged),
         )
-    private val estimates = CompletionEstimates(workTimes, ::monotonicMs)
+    private val estimates = CompletionEstimates(profiles, ::monotonicMs)
     private val locality = Locality(settings.dataCentre, settings.dataCentres[settings.dataCentre].orEmpty())
     private val dispatcher =
         Dispatcher(
@@ -184,15 +187,17 @@
             platformHeaders,
             ::document,
             WeightedChoice(random),
-            dispatcher::dispatch,
+            ::dispatch,
             ::returnTimeMs,
             counters,
-        )
+        ) { adoption.version.number }
     private val innerServer =
         innerServer(inner, security.serverInterceptor { }, executorOfCalls(pools.transport), innerServices())
     private val callers = CallerEdge(settings.callers, loops, pools.callers, ::callerLimits, ingress::answer)
     private val readiness =
         CallerEdge(settings.readiness, loops, pools.platform, ::callerLimits, readinessEndpoint(::isReady))
+    private val metricsListener =
+        CallerEdge(Address(settings.host, settings.metricsPort), loops, pools.platform, ::callerLimits, metricsEndpoint(metrics::scrape))
     private val heartbeatListener =
         CallerEdge(settings.heartbeats, loops, pools.platform, ::callerLimits, heartbeatEndpoint(::heard))
 
@@ -203,10 +208,12 @@
     fun start() {
         heartbeatListener.start()
         readiness.start()
+        if (settings.metricsPort != 0) metricsListener.start()
+        registerGauges()
         innerServer.start()
         gossip.start()
         configurations.start()
-        evacuations.start()
+        dataCentreStates.start()
         directory.start()
         fetcher.start()
         admission.onLoad = notices::changed
@@ -229,7 +236,10 @@
         ingress.endAt(untilMs)
         callers.closeAfterAnswers()
         egress.stop()
-        val drained = awaitIdle(untilMs)
+        awaitIdle(untilMs)
+        // A connection that is accepted after the last look would be cut by the end of the process.
+        callers.stopListening(LISTENER_CLOSE_MS)
+        val drained = awaitIdle(untilMs + LISTENER_CLOSE_MS)
         gossip.stateSelf { it.copy(state = MemberState.LEFT) }
         Thread.sleep(LEFT_SPREAD_MS)
         logger.info { "daemon ${settings.vm.text} has left; drained: $drained" }
@@ -252,6 +262,18 @@
         logger.info { "settings were read again" }
     }
 
+    private fun registerGauges() {
+        metrics.gauge("endivestep.configuration.version", "Version of the configuration in force") { adoption.version.number }
+        metrics.gauge("endivestep.members.alive", "Daemons thought to be alive") {
+            gossip.members.count { it.state == MemberState.ALIVE }
+        }
+        metrics.gauge("endivestep.worker.in.flight", "Requests that the worker has") { admission.load.inFlight }
+        metrics.gauge("endivestep.worker.limit", "Requests that the worker may have") { admission.load.limit }
+        metrics.gauge("endivestep.worker.waiting", "Requests that wait for the worker") { admission.load.waiting }
+        metrics.gauge("endivestep.quarantined", "Requests in quarantine") { crashes.quarantinedCount }
+        metrics.gauge("endivestep.store.connected", "1 while the store answers") { if (configurations.isConnected) 1 else 0 }
+    }
+
     private fun isReady(): Boolean = !stopping && adoption.active != null
 
     private fun document(): Document? = overrides.document
@@ -296,14 +318,14 @@
         adoption.offerAndLog(ConfigurationRecord.newBuilder().setVersion(version).setDocument(item.text).setChange(change).build())
     }
 
-    private fun evacuationsListed(listed: ListedCollection.Items) {
+    private fun statesListed(listed: ListedCollection.Items) {
         val out = listed.items.map { stateOf(it.name, DataCentreState.OUT, it.revision) }
         val names = listed.items.map { it.name }.toSet()
         val returned = overrides.entries.filter { it.state == DataCentreState.OUT && it.dataCentre.text !in names }
         overrides.merge(out + returned.map { stateOf(it.dataCentre.text, DataCentreState.IN, listed.revision) })
     }
 
-    private fun evacuationChanged(event: CollectionEvent) {
+    private fun stateChanged(event: CollectionEvent) {
         val state = if (event.deleted) DataCentreState.IN else DataCentreState.OUT
         overrides.merge(listOf(stateOf(event.item.name, state, event.item.revision)))
     }
@@ -323,6 +345,12 @@
         return routes(gossip.members, current, service, settings.vm)
     }
 
+    private fun dispatch(call: IncomingCall, attempt: AttemptId): AttemptResult {
+        val result = dispatcher.dispatch(call, attempt)
+        if (result is AttemptResult.Answered) result.head.contentLength?.let { profiles.answered(call.kind.name, it) }
+        return result
+    }
+
     private fun attempt(route: Route, request: AttemptRequest): AttemptResult =
         if (route.isLocal) egress.run(request) { } else exchanges.attempt(route.peer, request)
 
@@ -367,7 +395,8 @@
         // The platform takes a daemon out after two questions, which it asks every second.
         const val NOTICE_MS = 2_400L
         const val STOP_MARGIN_MS = 600L
-        const val LEFT_SPREAD_MS = 200L
+        const val LEFT_SPREAD_MS = 100L
+        const val LISTENER_CLOSE_MS = 200L
         const val IDLE_CHECK_MS = 20L
         const val RETRY_RESERVE = 2
         const val MAX_ATTEMPTS = 3
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/CallerEdge.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/CallerEdge.kt
@@ -68,10 +68,9 @@
         connections.forEach { it.pipeline().fireUserEventTriggered(CloseWhenIdle) }
     }
 
-    /** Stops listening; waits at most [timeoutMs] for connections to end. */
-    fun stop(timeoutMs: Long) {
+    /** Refuses new connections; waits at most [timeoutMs] until that is so. Those that are open go on. */
+    fun stopListening(timeoutMs: Long) {
         listener?.close()?.await(timeoutMs, TimeUnit.MILLISECONDS)
-        connections.newCloseFuture().await(timeoutMs, TimeUnit.MILLISECONDS)
     }
 
     val connectionCount: Int get() = connections.size
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
@@ -2,6 +2,7 @@
 
 import org.endivestep.choice.Candidate
 import org.endivestep.choice.ChoicePolicy
+import org.endivestep.choice.ChoiceSubject
 import org.endivestep.choice.WorkerLoads
 import org.endivestep.document.RetrySettings
 import org.endivestep.exchange.AttemptRequest
@@ -54,8 +55,10 @@
         var attemptId = firstAttempt
         while (true) {
             val route = chooseRoute(call, history) ?: return history.outcome() ?: AttemptResult.NotRun(NotRunReason.NO_WORKER)
+            val startMs = monotonicMs()
             val result = tryOnce(route, call, attemptId, patienceMs(call, history))
-            history.add(route.candidate.vm, result)
+            history.add(route.candidate.vm, result, monotonicMs() - startMs)
+            call.trace = history.trace
             if (handsOver(result, history)) {
                 history.handovers++
                 attemptId = AttemptId(randomId())
@@ -82,7 +85,7 @@
         if (routes.isEmpty()) return null
         val chosen: Candidate =
             synchronized(loads) {
-                choose(call.kind.name, routes.map { it.candidate }).also { loads.begin(it.vm) }
+                choose(ChoiceSubject(call.kind.name, call.bodyBytes), routes.map { it.candidate }).also { loads.begin(it.vm) }
             }
         return routes.first { it.candidate == chosen }
     }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/IncomingCall.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/IncomingCall.kt
@@ -44,6 +44,18 @@
     /** Whether the body can be sent from its beginning. */
     val replayable: Boolean get() = (body as? RequestBody.Streamed)?.let { !(it.stream as UnreadStream).touched } ?: true
 
+    /** What became of each attempt so far, for the log. */
+    @Volatile
+    var trace: List<String> = emptyList()
+
+    /** Length of the body in bytes, 0 when it is not known. */
+    val bodyBytes: Long
+        get() =
+            when (body) {
+                is RequestBody.Inline -> body.bytes.size.toLong()
+                is RequestBody.Streamed -> body.length.coerceAtLeast(0)
+            }
+
     val needsClaim: Boolean get() = !kind.idempotent && idempotencyKey != null
 }
 
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
@@ -16,6 +16,7 @@
 import org.endivestep.identity.RequestId
 import org.endivestep.identity.ServiceName
 import org.endivestep.identity.randomId
+import org.endivestep.metrics.DecisionLog
 import org.endivestep.metrics.FinalOutcome
 import org.endivestep.metrics.OutcomeCounters
 import org.endivestep.metrics.OutcomeLabel
@@ -28,6 +29,7 @@
 import java.util.concurrent.atomic.AtomicInteger
 
 private val logger = KotlinLogging.logger {}
+private const val LINES_A_SECOND = 50
 
 /** Returns the time in ms after which a caller should send a refused request again. */
 internal typealias ReturnTime = (RouteRule?, NotRunReason, remainingMs: Long) -> Long
@@ -44,7 +46,9 @@
     private val dispatch: (IncomingCall, AttemptId) -> AttemptResult,
     private val returnTime: ReturnTime,
     private val counters: OutcomeCounters,
+    private val configurationVersion: () -> Long,
 ) {
+    private val decisions = DecisionLog(logger, LINES_A_SECOND, ::monotonicMs)
     private val active = AtomicInteger()
 
     @Volatile
@@ -116,13 +120,13 @@
                 counters.time(call.service.name.text, monotonicMs() - request.arrivedMs)
                 CallerReply(result.head.status, result.head.headers.forwarded(), result.body, result.head.contentLength)
             }
-            is AttemptResult.NotRun -> refusal(request, rule, result.reason)
-            is AttemptResult.Unknown -> failure(request, rule, result.reason)
+            is AttemptResult.NotRun -> refusal(request, rule, result.reason, call)
+            is AttemptResult.Unknown -> failure(request, call, rule, result.reason)
         }
 
-    private fun refusal(request: CallerRequest, rule: RouteRule?, reason: NotRunReason): CallerReply {
+    private fun refusal(request: CallerRequest, rule: RouteRule?, reason: NotRunReason, call: IncomingCall? = null): CallerReply {
         count(rule, FinalOutcome.NOT_RUN, reason.text)
-        logger.info { "request ${request.header(headers.requestId)} refused: ${reason.text}, ${rule?.name?.text} ${request.target}" }
+        log(request, rule, "refused as not run: ${reason.text}", call)
         val deadlineMs = request.header(headers.deadlineMs)?.toLongOrNull() ?: 0
         val remainingMs = request.arrivedMs + deadlineMs - monotonicMs()
         val status = if (reason == NotRunReason.NO_ROUTE) reason.status() else NOT_RUN_STATUS
@@ -130,12 +134,19 @@
         return emptyReply(status, echo(request) + HeaderField(headers.retryAfter, seconds))
     }
 
-    private fun failure(request: CallerRequest, rule: RouteRule, reason: UnknownReason): CallerReply {
+    private fun failure(request: CallerRequest, call: IncomingCall, rule: RouteRule, reason: UnknownReason): CallerReply {
         count(rule, FinalOutcome.UNKNOWN, reason.text)
-        logger.info { "request ${request.header(headers.requestId)} failed: ${reason.text}, ${rule.name.text}" }
+        log(request, rule, "failed, may have run: ${reason.text}", call)
         return emptyReply(if (reason == UnknownReason.TIMEOUT) TIMEOUT_STATUS else FAILURE_STATUS, echo(request))
     }
 
+    private fun log(request: CallerRequest, rule: RouteRule?, outcome: String, call: IncomingCall?) =
+        decisions.write {
+            "request ${request.header(headers.requestId)} $outcome; route ${rule?.name?.text ?: "none for ${request.target}"}, " +
+                "service ${call?.service?.name?.text}, after ${monotonicMs() - request.arrivedMs} of ${request.header(headers.deadlineMs)} ms, " +
+                "time-out ${rule?.timeoutMs} ms, configuration ${configurationVersion()}, attempts ${call?.trace.orEmpty()}"
+        }
+
     private fun echo(request: CallerRequest): List<HeaderField> =
         listOfNotNull(request.header(headers.requestId)?.let { HeaderField(headers.requestId, it) })
 
--- a/endivestep/src/main/kotlin/org/endivestep/store/CollectionFollower.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/store/CollectionFollower.kt
@@ -60,6 +60,7 @@
         when (val watched = store.watch(collection, since, WATCH_MS)) {
             is WatchedCollection.Events -> {
                 answered()
+                pacing.reset()
                 watched.events.forEach(listener.onChanged)
                 known = watched.revision
                 // A store that answers a watch at once with nothing must not be asked without end.
@@ -74,8 +75,8 @@
         }
     }
 
+    // The pace is taken up again only by a watch: a listing whose history is gone at once must not be repeated without end.
     private fun answered() {
-        pacing.reset()
         if (!isConnected) logger.info { "the store answers for ${collection.text}" }
         isConnected = true
     }
--- /dev/null
+++ b/endivestep/src/test/kotlin/org/endivestep/store/CollectionFollowerTest.kt
@@ -0,0 +1,64 @@
+package org.endivestep.store
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import java.util.SplittableRandom
+
+/** A store that answers each call as told and counts the calls. */
+private class ScriptedCollections(private val listed: () -> ListedCollection, private val watched: (StoreRevision) -> WatchedCollection) :
+    ObjectCollections {
+    var calls = 0
+
+    override fun list(collection: CollectionName, allowStale: Boolean): ListedCollection = listed().also { calls++ }
+
+    override fun watch(collection: CollectionName, since: StoreRevision, timeoutMs: Long): WatchedCollection = watched(since).also { calls++ }
+
+    override fun write(collection: CollectionName, name: String, text: String): WriteResult = WriteResult.Unknown("not scripted")
+}
+
+private fun callsIn(virtualMs: Long, store: ScriptedCollections): Int {
+    var nowMs = 0L
+    val follower =
+        CollectionFollower(store, CollectionName("config"), SplittableRandom(1), CollectionListener({ }, { })) { nowMs += it }
+    var steps = 0
+    while (nowMs < virtualMs && steps++ < 100_000) follower.step()
+    return store.calls
+}
+
+class CollectionFollowerTest :
+    FunSpec({
+        val none = ListedCollection.Items(emptyList(), StoreRevision(7))
+
+        test("calls are few while the store gives nothing, whatever it answers") {
+            class Case(val name: String, val listed: ListedCollection, val watched: (StoreRevision) -> WatchedCollection, val most: Int)
+            listOf(
+                Case("an outage", ListedCollection.Unavailable("status 503"), { WatchedCollection.Unavailable("") }, 60),
+                Case("an outage after the list", none, { WatchedCollection.Unavailable("status 429") }, 60),
+                Case("a history that is always gone", none, { WatchedCollection.HistoryGone }, 120),
+                Case("watches that return at once with nothing", none, { WatchedCollection.Events(emptyList(), it) }, 1_300),
+            ).forEach { case ->
+                val calls = callsIn(virtualMs = 60_000, ScriptedCollections({ case.listed }, case.watched))
+                withClue(case.name) { calls shouldBeLessThanOrEqual case.most }
+            }
+        }
+
+        test("changes are passed on in order, and a lost history is listed again") {
+            val seen = mutableListOf<String>()
+            val item = CollectionItem("main", StoreRevision(8), "second")
+            val script =
+                ArrayDeque(
+                    listOf(
+                        WatchedCollection.Events(listOf(CollectionEvent(item, deleted = false)), StoreRevision(8)),
+                        WatchedCollection.HistoryGone,
+                        WatchedCollection.Events(listOf(CollectionEvent(item, deleted = true)), StoreRevision(9)),
+                    ),
+                )
+            val store = ScriptedCollections({ none }, { script.removeFirst() })
+            val listener = CollectionListener({ seen += "list" }, { seen += if (it.deleted) "deleted" else it.item.text })
+            val follower = CollectionFollower(store, CollectionName("config"), SplittableRandom(1), listener) { }
+            repeat(5) { follower.step() }
+            seen shouldBe listOf("list", "second", "list", "deleted")
+        }
+    })
