--- a/endivestep/src/main/kotlin/org/endivestep/admission/AdmissionQueue.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/admission/AdmissionQueue.kt
@@ -185,11 +185,11 @@
 internal data class WaitingPlace(val rank: RequestRank, val late: Boolean)
 
 /**
- * Calls of other workers go first, because refusing one wastes the work of its parent; then requests
- * that can still be answered in time, the higher priority, and those that were refused before.
+ * Calls of other workers go first, because refusing one wastes the work of its parent; then the
+ * higher priority, requests that can still be answered in time, and those that were refused before.
  */
 internal val waitingOrder: Comparator<WaitingPlace> =
     compareBy<WaitingPlace> { !it.rank.nested }
-        .thenBy { it.late }
         .thenBy { it.rank.priority }
+        .thenBy { it.late }
         .thenBy { !it.rank.repeated }
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -59,6 +59,7 @@
 import org.endivestep.platform.DocumentDefaults
 import org.endivestep.platform.OperatorObjects
 import org.endivestep.platform.PlatformSettings
+import org.endivestep.platform.healthCall
 import org.endivestep.platform.heartbeatEndpoint
 import org.endivestep.platform.metricsEndpoint
 import org.endivestep.platform.platformDialect
@@ -67,6 +68,7 @@
 import org.endivestep.platform.readOperatorDocument
 import org.endivestep.platform.readinessEndpoint
 import org.endivestep.platform.versionOf
+import org.endivestep.probe.StartProbe
 import org.endivestep.protocol.ControlClient
 import org.endivestep.protocol.ControlServer
 import org.endivestep.protocol.ExchangeClient
@@ -100,6 +102,7 @@
 private const val FENCE_KEPT_MS = 120_000L
 private const val STORE_TIMEOUT_MS = 1_000L
 private const val CONNECT_TIMEOUT_MS = 500
+private const val HEALTH_TIMEOUT_MS = 500L
 private const val EVENT_LOOP_THREADS = 2
 private val unlimited = LimitSettings(1, 1, 0, Double.MAX_VALUE, QUEUE_LENGTH, QUEUE_WAIT_MS)
 private const val QUEUE_LENGTH = 64
@@ -171,7 +174,7 @@
             ::routesOf,
             estimates,
             earliestCompletion(locality, estimates),
-            HandoverSettings(MOST_HANDOVERS, HANDOVER_PATIENCE_MS),
+            HandoverSettings(MOST_HANDOVERS, HANDOVER_PATIENCE_MS, ::silenceMs),
             ::attempt,
         )
     private val notices =
@@ -198,6 +201,13 @@
         CallerEdge(settings.readiness, loops, pools.platform, ::callerLimits, readinessEndpoint(::isReady))
     private val metricsListener =
         CallerEdge(Address(settings.host, settings.metricsPort), loops, pools.platform, ::callerLimits, metricsEndpoint(metrics::scrape))
+    private val startProbe =
+        StartProbe(
+            { document()?.services?.get(settings.service)?.probe?.path },
+            { workers.worker != null },
+            healthCall(settings, connections, HEALTH_TIMEOUT_MS),
+            ::heard,
+        )
     private val heartbeatListener =
         CallerEdge(settings.heartbeats, loops, pools.platform, ::callerLimits, heartbeatEndpoint(::heard))
 
@@ -218,6 +228,7 @@
         fetcher.start()
         admission.onLoad = notices::changed
         notices.start()
+        startProbe.start()
         callers.start()
         logger.info { "daemon ${settings.vm.text} serves callers at ${settings.callers}" }
     }
@@ -340,6 +351,10 @@
         return minOf(usual + random.nextLong(usual), longest)
     }
 
+    // Work that takes this much longer than usual is probably not being done any more.
+    private fun silenceMs(call: IncomingCall): Long =
+        (profiles.usualMs(call.kind.name) * SILENCE_FACTOR).toLong() + SILENCE_MARGIN_MS
+
     private fun routesOf(service: ServiceName): List<Route> {
         val current = document() ?: return emptyList()
         return routes(gossip.members, current, service, settings.vm)
@@ -402,6 +417,8 @@
         const val MAX_ATTEMPTS = 3
         const val MOST_HANDOVERS = 3
         const val HANDOVER_PATIENCE_MS = 60L
+        const val SILENCE_FACTOR = 4.0
+        const val SILENCE_MARGIN_MS = 200L
         const val OVERLOADED_RETURN_MS = 250L
         const val USUAL_RETURN_MS = 100L
         const val LONGEST_RETURN_PARTS = 4
--- a/endivestep/src/main/kotlin/org/endivestep/egress/WorkerCallOverNetty.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/WorkerCallOverNetty.kt
@@ -59,10 +59,12 @@
     private fun exchange(connection: HttpConnection): WorkerResult {
         connection.begin(::isOurs)
         connection.send(head(), attempt.body)
-        return when (val arrival = connection.next(remainingMs())) {
+        return when (val arrival = connection.next(minOf(remainingMs(), attempt.silenceMs))) {
             is HttpArrival.Head -> answered(connection, arrival.head)
             HttpArrival.Late -> {
                 connection.close()
+                // Connections may go silent for good, and then usually all of them.
+                connections.forget(address)
                 WorkerResult.Failed("no answer before the deadline", timedOut = true)
             }
             is HttpArrival.Failed -> WorkerResult.Failed(arrival.cause, timedOut = false)
--- a/endivestep/src/main/kotlin/org/endivestep/egress/WorkerRegistry.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/WorkerRegistry.kt
@@ -13,6 +13,9 @@
     val capacity: WorkerCapacity? = null,
 )
 
+/** Start of a worker that has not said when it started. */
+internal const val UNKNOWN_START_MS = 0L
+
 /** Requests that a worker runs at the same time, and when it started on its own clock, in ms. */
 internal data class WorkerCapacity(val slots: Int, val startedMs: Long)
 
@@ -58,8 +61,10 @@
     }
 
     // A worker may start again under the incarnation that it had.
-    private fun isSameRun(before: Announcement, after: Announcement): Boolean =
-        before.incarnation == after.incarnation && before.capacity?.startedMs == after.capacity?.startedMs
+    private fun isSameRun(before: Announcement, after: Announcement): Boolean {
+        val startedMs = listOf(before, after).map { it.capacity?.startedMs ?: UNKNOWN_START_MS }
+        return before.incarnation == after.incarnation && (startedMs[0] == startedMs[1] || UNKNOWN_START_MS in startedMs)
+    }
 
     /** Notes that [incarnation] is gone; returns the worker when it was thought to serve or leave. */
     @Synchronized
--- a/endivestep/src/main/kotlin/org/endivestep/http/HttpConnections.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/http/HttpConnections.kt
@@ -67,6 +67,7 @@
                 .handler(
                     object : ChannelInitializer<SocketChannel>() {
                         override fun initChannel(channel: SocketChannel) {
+                            channel.keepAlive()
                             connection = HttpConnection(channel)
                             channel.pipeline().addLast(HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
                             channel.pipeline().addLast(connection.Receiver())
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeClient.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeClient.kt
@@ -37,7 +37,8 @@
     private val admitTimeoutMs: Long = ADMIT_TIMEOUT_MS,
 ) {
     /** Runs [request] at [peer]; blocks until the answer begins or the attempt fails. */
-    fun attempt(peer: Peer, request: AttemptRequest): AttemptResult {
+    fun attempt(peer: Peer, attempt: AttemptRequest): AttemptResult {
+        val request = attempt.withStreamedBody(MAX_BODY_BEFORE_ADMISSION_BYTES)
         val channel = channels.next(peer.address)
         val call = ExchangeCall(channel, CallOptions.DEFAULT)
         val sentMs = monotonicMs()
@@ -157,6 +158,8 @@
         }
 
     private companion object {
+        // A refusal must not have cost the way of a long body.
+        const val MAX_BODY_BEFORE_ADMISSION_BYTES = 8_192
         const val FENCE_TIMEOUT_MS = 500L
         const val DEADLINE_GRACE_MS = 100L
     }
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/PeerChannels.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/PeerChannels.kt
@@ -2,9 +2,12 @@
 
 import io.grpc.ManagedChannel
 import io.grpc.netty.NettyChannelBuilder
+import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.nio.NioEventLoopGroup
+import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
+import jdk.net.ExtendedSocketOptions
 import org.endivestep.settings.Address
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
@@ -80,6 +83,10 @@
             .keepAliveTimeout(KEEP_ALIVE_TIMEOUT_SECONDS, TimeUnit.SECONDS)
             .idleTimeout(IDLE_MINUTES, TimeUnit.MINUTES)
             .flowControlWindow(FLOW_WINDOW_BYTES)
+            .withOption(ChannelOption.SO_KEEPALIVE, true)
+            .withOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), 1)
+            .withOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), 1)
+            .withOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), 2)
             .intercept(security.clientInterceptor())
             .build()
 
--- a/endivestep/src/test/kotlin/org/endivestep/choice/CompletionEstimatesTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/choice/CompletionEstimatesTest.kt
@@ -88,7 +88,7 @@
                 estimates.report(near.vm, case.local)
                 estimates.report(far.vm, case.far)
                 io.kotest.assertions.withClue(case.name) {
-                    earliestCompletion(here, estimates)(ChoiceSubject(read), listOf(near, far)).vm.text shouldBe case.chosen
+                    earliestCompletion(here, estimates)(ChoiceSubject(read, bytes = 3_000), listOf(near, far)).vm.text shouldBe case.chosen
                 }
             }
         }
