--- a/emulator/src/test/kotlin/org/endivestep/emulator/ProcessFleet.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/ProcessFleet.kt
@@ -101,7 +101,8 @@
     fun startDaemon(place: Place) {
         val settings = File(directory, "${place.vm}.ini")
         settings.writeText(settingsOf(place))
-        place.daemon = startProcess("org.endivestep.MainKt", listOf("daemon", "--settings", settings.path), File(directory, "${place.vm}.log"))
+        place.daemon =
+            startProcess("org.endivestep.MainKt", listOf("daemon", "--settings", settings.path), File(directory, "${place.vm}.log"))
         processes += place.daemon
     }
 
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -5,8 +5,8 @@
 import io.netty.channel.nio.NioEventLoopGroup
 import org.endivestep.admission.AdmissionQueue
 import org.endivestep.choice.CompletionEstimates
-import org.endivestep.choice.Locality
 import org.endivestep.choice.KindProfiles
+import org.endivestep.choice.Locality
 import org.endivestep.choice.earliestCompletion
 import org.endivestep.configuration.ConfigurationAdoption
 import org.endivestep.configuration.ConfigurationFetcher
@@ -93,7 +93,6 @@
 import org.endivestep.store.StoreRevision
 import java.net.DatagramSocket
 import java.net.InetAddress
-import java.util.concurrent.TimeUnit
 import java.util.random.RandomGenerator
 
 private val logger = KotlinLogging.logger {}
--- a/endivestep/src/main/kotlin/org/endivestep/egress/AnswerReader.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/AnswerReader.kt
@@ -10,11 +10,8 @@
  * nothing comes within [patienceMs]. At the end of the answer [onWhole] gets the connection if it can
  * be used again; otherwise it is closed.
  */
-internal class AnswerReader(
-    private val connection: HttpConnection,
-    private val patienceMs: () -> Long,
-    private val onWhole: () -> Unit,
-) : InputStream() {
+internal class AnswerReader(private val connection: HttpConnection, private val patienceMs: () -> Long, private val onWhole: () -> Unit) :
+    InputStream() {
     private var current = ByteArray(0)
     private var position = 0
     private var ended = false
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/CallerConnection.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/CallerConnection.kt
@@ -175,7 +175,13 @@
 
     fun toRequest(): CallerRequest {
         val streamed = stream
-        val body = if (streamed == null) RequestBody.Inline(collected.toByteArray()) else RequestBody.Streamed(UnreadStream(streamed), length)
+        val body = if (streamed ==
+            null
+        ) {
+            RequestBody.Inline(collected.toByteArray())
+        } else {
+            RequestBody.Streamed(UnreadStream(streamed), length)
+        }
         return CallerRequest(head.method().name(), head.uri(), head.headers().map { HeaderField(it.key, it.value) }, body, arrivedMs)
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
@@ -143,7 +143,9 @@
     private fun log(request: CallerRequest, rule: RouteRule?, outcome: String, call: IncomingCall?) =
         decisions.write {
             "request ${request.header(headers.requestId)} $outcome; route ${rule?.name?.text ?: "none for ${request.target}"}, " +
-                "service ${call?.service?.name?.text}, after ${monotonicMs() - request.arrivedMs} of ${request.header(headers.deadlineMs)} ms, " +
+                "service ${call?.service?.name?.text}, after ${monotonicMs() - request.arrivedMs} of ${request.header(
+                    headers.deadlineMs,
+                )} ms, " +
                 "time-out ${rule?.timeoutMs} ms, configuration ${configurationVersion()}, attempts ${call?.trace.orEmpty()}"
         }
 
--- a/endivestep/src/main/kotlin/org/endivestep/outcome/AnswerHead.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/outcome/AnswerHead.kt
@@ -6,7 +6,10 @@
     fun header(name: String): String? = headers.firstOrNull { it.name.equals(name, ignoreCase = true) }?.value
 
     /** Returns this head with [length] stated for its body. */
-    fun withLength(length: Int): AnswerHead = copy(headers = headers.filterNot { it.name.equals("content-length", true) } + HeaderField("Content-Length", "$length"))
+    fun withLength(length: Int): AnswerHead = copy(
+        headers =
+        headers.filterNot { it.name.equals("content-length", true) } + HeaderField("Content-Length", "$length"),
+    )
 
     /** Length in bytes that the answer states for its body, or null. */
     val contentLength: Long? get() = header("content-length")?.toLongOrNull()
--- a/endivestep/src/test/kotlin/org/endivestep/choice/CompletionEstimatesTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/choice/CompletionEstimatesTest.kt
@@ -65,7 +65,8 @@
                 var next = 0
                 val inTurn = meanMs(seed) { _, workers -> workers.candidates[next++ % workers.candidates.size] }
                 val here = Locality(DataCentreName("dc-0"), "region")
-                val earliest = meanMs(seed) { estimates, workers -> earliestCompletion(here, estimates)(ChoiceSubject(read), workers.candidates) }
+                val earliest =
+                    meanMs(seed) { estimates, workers -> earliestCompletion(here, estimates)(ChoiceSubject(read), workers.candidates) }
                 earliest shouldBeLessThan inTurn * 0.9
             }
         }
--- a/endivestep/src/test/kotlin/org/endivestep/ingress/CallerEdgeTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/ingress/CallerEdgeTest.kt
@@ -125,7 +125,10 @@
                 open.getOutputStream().write("$GET\r\n".toByteArray())
                 open.getInputStream().readNBytes(15).decodeToString() shouldContain "200"
                 edge.edge.stopListening(1_000)
-                runCatching { edge.connect().use { it.getInputStream().read() } }.exceptionOrNull().let { (it is SocketException) shouldBe true }
+                runCatching { edge.connect().use { it.getInputStream().read() } }.exceptionOrNull().let {
+                    (it is SocketException) shouldBe
+                        true
+                }
                 open.getOutputStream().write("$GET\r\n".toByteArray())
                 (open.getInputStream().readNBytes(15).size) shouldBe 15
             }
--- a/endivestep/src/test/kotlin/org/endivestep/store/CollectionFollowerTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/store/CollectionFollowerTest.kt
@@ -13,7 +13,9 @@
 
     override fun list(collection: CollectionName, allowStale: Boolean): ListedCollection = listed().also { calls++ }
 
-    override fun watch(collection: CollectionName, since: StoreRevision, timeoutMs: Long): WatchedCollection = watched(since).also { calls++ }
+    override fun watch(collection: CollectionName, since: StoreRevision, timeoutMs: Long): WatchedCollection = watched(since).also {
+        calls++
+    }
 
     override fun write(collection: CollectionName, name: String, text: String): WriteResult = WriteResult.Unknown("not scripted")
 }
