Split the platform's daemon, know requests that come back, and see closed connections before sending

Operator documents, heartbeats and the time of return have files of their own. A request refused within the last seconds is known by its fingerprint and keeps its first arrival. An exchange begins only on a connection that is open, and a write that fails ends the wait.

--- a/endivestep/src/main/kotlin/org/endivestep/daemon/DaemonGauges.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/DaemonGauges.kt
@@ -3,6 +3,7 @@
 import org.endivestep.admission.AdmissionQueue
 import org.endivestep.claim.ClaimKeeper
 import org.endivestep.configuration.ConfigurationAdoption
+import org.endivestep.egress.CrashWatch
 import org.endivestep.membership.Gossip
 import org.endivestep.membership.MemberState
 import org.endivestep.metrics.DaemonMetrics
@@ -27,3 +28,23 @@
     metrics.gauge("endivestep.worker.limit", "Requests that the worker may have") { admission.load.limit }
     metrics.gauge("endivestep.claims.backlog", "Claim records still to be written") { keeper.backlog }
 }
+
+/** Registers what operators watch of a daemon on the users' platform. */
+internal fun registerPlatformGauges(
+    metrics: DaemonMetrics,
+    gossip: Gossip,
+    admission: AdmissionQueue,
+    adoption: ConfigurationAdoption,
+    crashes: CrashWatch,
+    operator: OperatorFollower,
+) {
+    metrics.gauge("endivestep.configuration.version", "Version of the configuration in force") { adoption.version.number }
+    metrics.gauge("endivestep.members.alive", "Daemons thought to be alive") {
+        gossip.members.count { it.state == MemberState.ALIVE }
+    }
+    metrics.gauge("endivestep.worker.in.flight", "Requests that the worker has") { admission.load.inFlight }
+    metrics.gauge("endivestep.worker.limit", "Requests that the worker may have") { admission.load.limit }
+    metrics.gauge("endivestep.worker.waiting", "Requests that wait for the worker") { admission.load.waiting }
+    metrics.gauge("endivestep.quarantined", "Requests in quarantine") { crashes.quarantinedCount }
+    metrics.gauge("endivestep.store.connected", "1 while the store answers") { if (operator.isConnected) 1 else 0 }
+}
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -10,23 +10,16 @@
 import org.endivestep.choice.earliestCompletion
 import org.endivestep.configuration.ConfigurationAdoption
 import org.endivestep.configuration.ConfigurationFetcher
-import org.endivestep.configuration.DataCentreOverride
 import org.endivestep.configuration.Overrides
 import org.endivestep.configuration.offerAndLog
-import org.endivestep.document.DataCentreState
 import org.endivestep.document.Document
 import org.endivestep.document.LimitSettings
 import org.endivestep.document.QuarantineSettings
 import org.endivestep.document.RetrySettings
-import org.endivestep.document.RouteRule
-import org.endivestep.egress.Announcement
 import org.endivestep.egress.AttemptRegistry
 import org.endivestep.egress.CrashWatch
 import org.endivestep.egress.Egress
-import org.endivestep.egress.HeartbeatOrder
 import org.endivestep.egress.InFlightRequests
-import org.endivestep.egress.WorkerCapacity
-import org.endivestep.egress.WorkerHeartbeat
 import org.endivestep.egress.WorkerRegistry
 import org.endivestep.egress.listensAt
 import org.endivestep.egress.nettyWorkerCall
@@ -34,7 +27,6 @@
 import org.endivestep.exchange.monotonicMs
 import org.endivestep.http.HttpConnections
 import org.endivestep.identity.AttemptId
-import org.endivestep.identity.DataCentreName
 import org.endivestep.identity.ServiceName
 import org.endivestep.identity.randomId
 import org.endivestep.ingress.CallerEdge
@@ -42,6 +34,7 @@
 import org.endivestep.ingress.HandoverSettings
 import org.endivestep.ingress.IncomingCall
 import org.endivestep.ingress.Route
+import org.endivestep.ingress.ReturnTimes
 import org.endivestep.ingress.RoutedIngress
 import org.endivestep.ingress.WeightedChoice
 import org.endivestep.ingress.routes
@@ -55,9 +48,7 @@
 import org.endivestep.metrics.DaemonMetrics
 import org.endivestep.metrics.OutcomeCounters
 import org.endivestep.outcome.AttemptResult
-import org.endivestep.outcome.NotRunReason
 import org.endivestep.platform.DocumentDefaults
-import org.endivestep.platform.OperatorObjects
 import org.endivestep.platform.PlatformSettings
 import org.endivestep.platform.healthCall
 import org.endivestep.platform.heartbeatEndpoint
@@ -67,7 +58,6 @@
 import org.endivestep.platform.platformStore
 import org.endivestep.platform.readOperatorDocument
 import org.endivestep.platform.readinessEndpoint
-import org.endivestep.platform.versionOf
 import org.endivestep.probe.StartProbe
 import org.endivestep.protocol.ControlClient
 import org.endivestep.protocol.ControlServer
@@ -80,17 +70,8 @@
 import org.endivestep.protocol.PeerChannels
 import org.endivestep.protocol.executorOfCalls
 import org.endivestep.protocol.toInfo
-import org.endivestep.protocol.v1.ChangeEntry
-import org.endivestep.protocol.v1.ConfigurationRecord
 import org.endivestep.quarantine.Quarantine
 import org.endivestep.settings.Address
-import org.endivestep.store.CollectionEvent
-import org.endivestep.store.CollectionFollower
-import org.endivestep.store.CollectionItem
-import org.endivestep.store.CollectionListener
-import org.endivestep.store.CollectionName
-import org.endivestep.store.ListedCollection
-import org.endivestep.store.StoreRevision
 import java.net.DatagramSocket
 import java.net.InetAddress
 import java.util.random.RandomGenerator
@@ -124,7 +105,6 @@
         ConfigurationAdoption({ name, text -> readOperatorDocument(name, text, documentDefaults()) }) { follower.adopted(it) }
     private val profiles = KindProfiles()
     private val workers = WorkerRegistry()
-    private val heartbeats = HeartbeatOrder()
     private val admission = AdmissionQueue(unlimited, ::monotonicMs)
     private val quarantine = Quarantine(quarantineSettings, ::monotonicMs)
     private val inFlight = InFlightRequests(LOST_KEPT_MS, ::monotonicMs)
@@ -152,20 +132,9 @@
         ConfigurationFollower(settings.dataCentre, overrides, quarantine, supervision, admission, gossip)
     private val fetcher = ConfigurationFetcher(adoption, control::fetchConfiguration, adoption::offerAndLog)
     private val directory = DaemonDirectory(store, gossip, random, ::synchronizeWith)
-    private val configurations =
-        CollectionFollower(
-            store,
-            CollectionName(OperatorObjects.CONFIGURATION),
-            random,
-            CollectionListener({ listed -> listed.items.forEach(::offer) }, { if (!it.deleted) offer(it.item) }),
-        )
-    private val dataCentreStates =
-        CollectionFollower(
-            store,
-            CollectionName(OperatorObjects.DATA_CENTRES_OUT),
-            random,
-            CollectionListener(::statesListed, ::stateChanged),
-        )
+    private val operator = OperatorFollower(store, random, adoption, overrides)
+    private val reports = WorkerReports(settings.service, settings.worker, workers, supervision)
+    private val returnTimes = ReturnTimes(profiles, random)
     private val estimates = CompletionEstimates(profiles, ::monotonicMs)
     private val locality = Locality(settings.dataCentre, settings.dataCentres[settings.dataCentre].orEmpty())
     private val dispatcher =
@@ -190,7 +159,7 @@
             ::document,
             WeightedChoice(random),
             ::dispatch,
-            ::returnTimeMs,
+            returnTimes::returnMs,
             counters,
         ) { adoption.version.number }
     private val innerServer =
@@ -205,10 +174,10 @@
             { document()?.services?.get(settings.service)?.probe?.path },
             { workers.worker != null },
             healthCall(settings, connections, HEALTH_TIMEOUT_MS),
-            ::heard,
+            reports::heard,
         )
     private val heartbeatListener =
-        CallerEdge(settings.heartbeats, loops, pools.platform, ::callerLimits, heartbeatEndpoint(::heard))
+        CallerEdge(settings.heartbeats, loops, pools.platform, ::callerLimits, heartbeatEndpoint(reports::heard))
 
     @Volatile
     private var stopping = false
@@ -218,11 +187,10 @@
         heartbeatListener.start()
         readiness.start()
         if (settings.metricsPort != 0) metricsListener.start()
-        registerGauges()
+        registerPlatformGauges(metrics, gossip, admission, adoption, crashes, operator)
         innerServer.start()
         gossip.start()
-        configurations.start()
-        dataCentreStates.start()
+        operator.start()
         directory.start()
         fetcher.start()
         admission.onLoad = notices::changed
@@ -272,18 +240,6 @@
         logger.info { "settings were read again" }
     }
 
-    private fun registerGauges() {
-        metrics.gauge("endivestep.configuration.version", "Version of the configuration in force") { adoption.version.number }
-        metrics.gauge("endivestep.members.alive", "Daemons thought to be alive") {
-            gossip.members.count { it.state == MemberState.ALIVE }
-        }
-        metrics.gauge("endivestep.worker.in.flight", "Requests that the worker has") { admission.load.inFlight }
-        metrics.gauge("endivestep.worker.limit", "Requests that the worker may have") { admission.load.limit }
-        metrics.gauge("endivestep.worker.waiting", "Requests that wait for the worker") { admission.load.waiting }
-        metrics.gauge("endivestep.quarantined", "Requests in quarantine") { crashes.quarantinedCount }
-        metrics.gauge("endivestep.store.connected", "1 while the store answers") { if (configurations.isConnected) 1 else 0 }
-    }
-
     private fun isReady(): Boolean = !stopping && adoption.active != null
 
     private fun document(): Document? = overrides.document
@@ -297,59 +253,6 @@
             RetrySettings(settings.bounds.retryRatio / 2, RETRY_RESERVE, MAX_ATTEMPTS),
         )
 
-    private fun heard(heartbeat: WorkerHeartbeat?) {
-        if (heartbeat == null) {
-            logger.warn { "a heartbeat could not be read" }
-            return
-        }
-        if (heartbeat.service != null && heartbeat.service != settings.service) {
-            logger.warn { "a heartbeat names service ${heartbeat.service.text} in place of ${settings.service.text}" }
-            return
-        }
-        val news = synchronized(heartbeats) { heartbeats.isNews(heartbeat) }
-        if (!news) return
-        val known = workers.worker?.announcement
-        val slots = if (heartbeat.service == null) known?.capacity?.slots ?: 0 else heartbeat.slots
-        val startedMs = if (heartbeat.startedMs == 0L) known?.capacity?.startedMs ?: 0 else heartbeat.startedMs
-        supervision.announce(
-            Announcement(settings.service, settings.worker, heartbeat.incarnation, heartbeat.leaving, WorkerCapacity(slots, startedMs)),
-        )
-        supervision.cold(heartbeat.coldMs)
-    }
-
-    private fun offer(item: CollectionItem) {
-        if (item.name != OperatorObjects.CONFIGURATION_NAME) return
-        val version = versionOf(item.text)
-        if (version == null) {
-            logger.error { "the configuration at revision ${item.revision.number} has no version" }
-            return
-        }
-        val change = ChangeEntry.newBuilder().setChangeId("version $version")
-        adoption.offerAndLog(ConfigurationRecord.newBuilder().setVersion(version).setDocument(item.text).setChange(change).build())
-    }
-
-    private fun statesListed(listed: ListedCollection.Items) {
-        val out = listed.items.map { stateOf(it.name, DataCentreState.OUT, it.revision) }
-        val names = listed.items.map { it.name }.toSet()
-        val returned = overrides.entries.filter { it.state == DataCentreState.OUT && it.dataCentre.text !in names }
-        overrides.merge(out + returned.map { stateOf(it.dataCentre.text, DataCentreState.IN, listed.revision) })
-    }
-
-    private fun stateChanged(event: CollectionEvent) {
-        val state = if (event.deleted) DataCentreState.IN else DataCentreState.OUT
-        overrides.merge(listOf(stateOf(event.item.name, state, event.item.revision)))
-    }
-
-    // The store's revision orders the states of a data centre, in place of a time.
-    private fun stateOf(dataCentre: String, state: DataCentreState, revision: StoreRevision) =
-        DataCentreOverride(DataCentreName(dataCentre), state, "revision ${revision.number} ${state.text}", "operator", revision.number)
-
-    private fun returnTimeMs(rule: RouteRule?, reason: NotRunReason, remainingMs: Long): Long {
-        val usual = if (reason == NotRunReason.OVERLOADED) OVERLOADED_RETURN_MS else USUAL_RETURN_MS
-        val longest = (remainingMs / LONGEST_RETURN_PARTS).coerceAtLeast(1)
-        return minOf(usual + random.nextLong(usual), longest)
-    }
-
     // Work that takes this much longer than usual is probably not being done any more.
     private fun silenceMs(call: IncomingCall): Long =
         (profiles.usualMs(call.kind.name) * SILENCE_FACTOR).toLong() + SILENCE_MARGIN_MS
@@ -418,8 +321,5 @@
         const val HANDOVER_PATIENCE_MS = 60L
         const val SILENCE_FACTOR = 4.0
         const val SILENCE_MARGIN_MS = 200L
-        const val OVERLOADED_RETURN_MS = 250L
-        const val USUAL_RETURN_MS = 100L
-        const val LONGEST_RETURN_PARTS = 4
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/egress/WorkerCallOverNetty.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/WorkerCallOverNetty.kt
@@ -39,7 +39,7 @@
     fun run(): WorkerResult {
         val connection =
             try {
-                connections.lease(address)
+                connections.begin(address, ::isOurs)
             } catch (e: IOException) {
                 return WorkerResult.NotSent(e.toString())
             } catch (_: InterruptedException) {
@@ -57,7 +57,6 @@
     }
 
     private fun exchange(connection: HttpConnection): WorkerResult {
-        connection.begin(::isOurs)
         connection.send(head(), attempt.body)
         return when (val arrival = connection.next(minOf(remainingMs(), attempt.silenceMs))) {
             is HttpArrival.Head -> answered(connection, arrival.head)
--- a/endivestep/src/main/kotlin/org/endivestep/http/HttpConnection.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/http/HttpConnection.kt
@@ -6,12 +6,14 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultLastHttpContent
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.concurrent.Future
 import org.endivestep.exchange.RequestBody
 import org.endivestep.outcome.AnswerHead
 import org.endivestep.outcome.HeaderField
@@ -50,12 +52,16 @@
 
     val isOpen: Boolean get() = channel.isActive
 
-    /** Begins an exchange; answers that [isOurs] turns down are dropped. */
-    fun begin(isOurs: (AnswerHead) -> Boolean) {
+    /**
+     * Begins an exchange; answers that [isOurs] turns down are dropped. Returns false when the connection
+     * was closed meanwhile, so that nothing can be sent on it.
+     */
+    fun begin(isOurs: (AnswerHead) -> Boolean): Boolean {
         arrivals.clear()
         queuedBytes.set(0)
         this.isOurs = isOurs
         busy = true
+        return channel.isActive
     }
 
     /** Sends [head] and [body]. Throws [IOException] when a streamed body breaks off; the connection is closed then. */
@@ -63,7 +69,7 @@
         when (body) {
             is RequestBody.Inline -> {
                 channel.write(head)
-                channel.writeAndFlush(io.netty.handler.codec.http.DefaultLastHttpContent(Unpooled.wrappedBuffer(body.bytes)))
+                channel.writeAndFlush(DefaultLastHttpContent(Unpooled.wrappedBuffer(body.bytes))).addListener(::noteWritten)
             }
             is RequestBody.Streamed -> {
                 channel.writeAndFlush(head)
@@ -72,6 +78,11 @@
         }
     }
 
+    // A write that fails is not always followed by the end of the connection.
+    private fun noteWritten(written: Future<*>) {
+        if (!written.isSuccess) arrivals.add(HttpArrival.Failed("the request could not be written: ${written.cause()}"))
+    }
+
     private fun sendStream(body: RequestBody.Streamed) {
         val buffer = ByteArray(CHUNK_BYTES)
         while (channel.isActive) {
--- a/endivestep/src/main/kotlin/org/endivestep/http/HttpConnections.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/http/HttpConnections.kt
@@ -7,6 +7,7 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpClientCodec
+import org.endivestep.outcome.AnswerHead
 import org.endivestep.settings.Address
 import java.io.IOException
 import java.net.InetSocketAddress
@@ -19,12 +20,19 @@
     private val idle = HashMap<Address, ArrayDeque<HttpConnection>>()
 
     /**
-     * Returns an idle connection that was used within the last [freshMs] or opens one; blocks while it
-     * connects.
+     * Returns a connection on which an exchange has begun, an idle one or a new one; blocks while it
+     * connects. Answers that [isOurs] turns down are dropped.
      *
      * @throws IOException when nothing accepts the connection
      */
-    fun lease(address: Address, freshMs: Long = Long.MAX_VALUE): HttpConnection = takeIdle(address, freshMs) ?: open(address)
+    fun begin(address: Address, isOurs: (AnswerHead) -> Boolean = { true }): HttpConnection {
+        while (true) {
+            val idle = takeIdle(address) ?: break
+            if (idle.begin(isOurs)) return idle
+            idle.close()
+        }
+        return open(address).also { it.begin(isOurs) }
+    }
 
     /** Takes [connection] back after an exchange that ended well. */
     fun giveBack(address: Address, connection: HttpConnection) {
@@ -37,13 +45,11 @@
         synchronized(idle) { idle.remove(address) }?.forEach { it.close() }
     }
 
-    private fun takeIdle(address: Address, freshMs: Long): HttpConnection? {
+    private fun takeIdle(address: Address): HttpConnection? {
         synchronized(idle) {
             val connections = idle[address] ?: return null
             closeAged(connections)
-            val newest = connections.lastOrNull() ?: return null
-            if (ageMs(newest) > freshMs) return null
-            return connections.removeLast()
+            return connections.removeLastOrNull()
         }
     }
 
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
@@ -50,6 +50,7 @@
 ) {
     private val decisions = DecisionLog(logger, LINES_A_SECOND, ::monotonicMs)
     private val active = AtomicInteger()
+    private val refused = RefusedLately()
 
     @Volatile
     private var endMs = Long.MAX_VALUE
@@ -85,13 +86,17 @@
         val deadline = Deadline(request.arrivedMs + minOf(deadlineMs, rule.timeoutMs))
         if (deadline.atMs > endMs) return refusal(request, rule, NotRunReason.LEAVING)
         val call = call(request, rule, service, requestId, deadline)
-        return reply(request, rule, call, dispatch(call, AttemptId(randomId())))
+        val result = dispatch(call, AttemptId(randomId()))
+        if (result is AttemptResult.NotRun) synchronized(refused) { refused.refused(call.fingerprint, request.arrivedMs) }
+        return reply(request, rule, call, result)
     }
 
     private fun host(request: CallerRequest): String = request.header("Host").orEmpty().substringBefore(':').lowercase()
 
-    private fun call(request: CallerRequest, rule: RouteRule, service: Service, requestId: String, deadline: Deadline) =
-        IncomingCall(
+    private fun call(request: CallerRequest, rule: RouteRule, service: Service, requestId: String, deadline: Deadline): IncomingCall {
+        val fingerprint = fingerprint(request, service)
+        val firstMs = synchronized(refused) { refused.firstArrivalMs(fingerprint, request.arrivedMs) }
+        return IncomingCall(
             id = RequestId(requestId),
             service = service,
             kind = Kind(rule.name, setOf(request.method), rule.pathPrefix, rule.idempotent, rule.objectiveMs, rule.timeoutMs, weight = 1),
@@ -102,10 +107,11 @@
             startMs = request.arrivedMs,
             deadline = deadline,
             idempotencyKey = null,
-            fingerprint = fingerprint(request, service),
+            fingerprint = fingerprint,
             maxAttempts = rule.maxAttempts,
-            rank = RequestRank(rule.priority, request.arrivedMs + rule.objectiveMs),
+            rank = RequestRank(rule.priority, (firstMs ?: request.arrivedMs) + rule.objectiveMs, repeated = firstMs != null),
         )
+    }
 
     private fun forwardedHeaders(request: CallerRequest): List<HeaderField> {
         val set = setOf(headers.callerService.lowercase(), headers.deadlineMs.lowercase(), headers.expectedWorker.lowercase())
--- a/endivestep/src/main/kotlin/org/endivestep/membership/Gossip.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/membership/Gossip.kt
@@ -1,5 +1,6 @@
 package org.endivestep.membership
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import org.endivestep.protocol.GossipCodec
 import org.endivestep.quarantine.SuspicionEntry
 import org.endivestep.ring.Duty
@@ -11,6 +12,8 @@
 import java.net.SocketException
 import java.util.concurrent.atomic.AtomicLong
 
+private val logger = KotlinLogging.logger {}
+
 /** Carries out what the protocol cannot do by sending a datagram. Called on the gossip thread; must not block. */
 internal typealias GossipEffect = (GossipAction) -> Unit
 
@@ -116,10 +119,19 @@
     private fun publish() {
         if (protocol.changes == publishedChanges) return
         publishedChanges = protocol.changes
+        val before = members
         members = protocol.members.toList()
+        logStates(before)
         self = protocol.self
     }
 
+    private fun logStates(before: List<MemberInfo>) {
+        val known = before.associate { it.vm to it.state }
+        members.filter { known[it.vm] != it.state }.forEach {
+            logger.info { "daemon ${it.vm.text} is ${it.state.name.lowercase()} in run ${it.incarnation.text}" }
+        }
+    }
+
     private var publishedChanges = -1L
 
     private fun carryOut(actions: List<GossipAction>) {
