Close a worker's connection at the first byte after the end of an answer

Cause: whether a connection waited for an answer was told by the thread that reads the answer, so a second answer that came right behind the first could still be queued, and its rest be taken into the next exchange, which then failed. The thread of the connection now decides at the end of the answer itself.

--- a/endivestep/src/main/kotlin/org/endivestep/http/HttpConnection.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/http/HttpConnection.kt
@@ -38,8 +38,9 @@
     @Volatile
     private var isOurs: (AnswerHead) -> Boolean = { true }
 
+    // From the start of an exchange to the end of its answer, as the thread of the connection sees it.
     @Volatile
-    private var busy = false
+    private var awaitsAnswer = false
 
     /** When the last exchange ended, by the system's nano clock. */
     var idleSinceNanos = 0L
@@ -60,7 +61,7 @@
         arrivals.clear()
         queuedBytes.set(0)
         this.isOurs = isOurs
-        busy = true
+        awaitsAnswer = true
         return channel.isActive
     }
 
@@ -102,7 +103,6 @@
 
     /** Ends an exchange whose answer was read to its end. */
     fun end() {
-        busy = false
         idleSinceNanos = System.nanoTime()
     }
 
@@ -133,8 +133,8 @@
                 fail(context, "bytes that are no answer: ${message.decoderResult().cause()}")
                 return
             }
-            if (!busy) {
-                fail(context, "bytes arrived although no request was in progress")
+            if (!awaitsAnswer) {
+                fail(context, "bytes arrived after the end of the answer")
                 return
             }
             if (message is HttpResponse) takeHead(message)
@@ -153,7 +153,10 @@
         private fun takeContent(content: HttpContent) {
             if (passedOver) return
             if (content.content().isReadable) deliver(HttpArrival.Content(ByteBufUtil.getBytes(content.content())))
-            if (content is LastHttpContent && failure == null) deliver(HttpArrival.End(reusable))
+            if (content is LastHttpContent && failure == null) {
+                awaitsAnswer = false
+                deliver(HttpArrival.End(reusable))
+            }
         }
 
         @Deprecated("Deprecated in Java")
