--- a/emulator/src/test/kotlin/org/endivestep/emulator/PlatformProcessTest.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/PlatformProcessTest.kt
@@ -42,7 +42,6 @@
 class PlatformProcessTest :
     FunSpec({
         test("the whole path on the users' platform, over real processes") {
-            System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host")
             runningFleet().use { fleet ->
                 val (stockA, ordersA) = fleet.places
                 val (stockB, ordersB) = fleet.places.drop(2)
--- a/endivestep/src/main/kotlin/org/endivestep/configuration/ConfigurationFetcher.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/configuration/ConfigurationFetcher.kt
@@ -1,11 +1,14 @@
 package org.endivestep.configuration
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import org.endivestep.protocol.v1.ConfigurationRecord
 import org.endivestep.ring.Duty
 import org.endivestep.ring.Ring
 import org.endivestep.settings.Address
 import java.util.concurrent.ConcurrentHashMap
 
+private val logger = KotlinLogging.logger {}
+
 /** Fetches the configuration of peers that have said that they have a newer one, on a thread of its own. */
 internal class ConfigurationFetcher(
     private val adoption: ConfigurationAdoption,
@@ -50,5 +53,3 @@
         Adoption.NotNewer -> Unit
     }
 }
-
-private val logger = io.github.oshai.kotlinlogging.KotlinLogging.logger {}
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -12,6 +12,7 @@
 import org.endivestep.configuration.ConfigurationFetcher
 import org.endivestep.configuration.Overrides
 import org.endivestep.configuration.offerAndLog
+import org.endivestep.document.CallerLimits
 import org.endivestep.document.Document
 import org.endivestep.document.LimitSettings
 import org.endivestep.document.QuarantineSettings
@@ -84,9 +85,21 @@
 private const val CONNECT_TIMEOUT_MS = 500
 private const val HEALTH_TIMEOUT_MS = 500L
 private const val EVENT_LOOP_THREADS = 2
-private val unlimited = LimitSettings(1, 1, 0, Double.MAX_VALUE, QUEUE_LENGTH, QUEUE_WAIT_MS)
 private const val QUEUE_LENGTH = 64
+
+// Less than the time after which another daemon takes an attempt without a first frame for lost.
 private const val QUEUE_WAIT_MS = 800L
+
+// Before the first heartbeat one request at a time; the worker's places replace the limit then.
+private val limitsBeforeHeartbeat =
+    LimitSettings(
+        cold = 1,
+        max = 1,
+        idleColdAfterMs = 0,
+        latencyTolerance = Double.MAX_VALUE,
+        queueLength = QUEUE_LENGTH,
+        queueWaitMs = QUEUE_WAIT_MS,
+    )
 private val quarantineSettings = QuarantineSettings(deaths = 2, durationMs = 60_000)
 
 /** A daemon on the users' platform: the product's parts, joined to the platform's messages and store. */
@@ -105,7 +118,7 @@
         ConfigurationAdoption({ name, text -> readOperatorDocument(name, text, documentDefaults()) }) { follower.adopted(it) }
     private val profiles = KindProfiles()
     private val workers = WorkerRegistry()
-    private val admission = AdmissionQueue(unlimited, ::monotonicMs)
+    private val admission = AdmissionQueue(limitsBeforeHeartbeat, ::monotonicMs)
     private val quarantine = Quarantine(quarantineSettings, ::monotonicMs)
     private val inFlight = InFlightRequests(LOST_KEPT_MS, ::monotonicMs)
     private val crashes = CrashWatch(quarantine, inFlight, workers, ::listensAt) { supervision.died(it) }
@@ -249,7 +262,7 @@
     private fun documentDefaults() =
         DocumentDefaults(
             settings.dataCentres,
-            unlimited,
+            limitsBeforeHeartbeat,
             RetrySettings(settings.bounds.retryRatio / 2, RETRY_RESERVE, MAX_ATTEMPTS),
         )
 
@@ -303,7 +316,7 @@
         )
 
     private companion object {
-        val defaultCallerLimits = org.endivestep.document.CallerLimits()
+        val defaultCallerLimits = CallerLimits()
 
         // The platform takes a daemon out after two questions, which it asks every second.
         const val NOTICE_MS = 2_400L
--- a/endivestep/src/test/kotlin/org/endivestep/egress/WorkerCallOverNettyTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/egress/NettyWorkerCallTest.kt
@@ -88,7 +88,7 @@
     }
 }
 
-class WorkerCallOverNettyTest :
+class NettyWorkerCallTest :
     FunSpec({
         val close: (Socket) -> Unit = { it.close() }
         val reset: (Socket) -> Unit = { socket ->
