Find peers with one exchange of datagrams, and reach a daemon that starts again at once

A daemon that starts asked three peers for their tables over gRPC and heard of the others by gossip; one that the store turns away learned of nobody but by its peers' digests, after three periods. A channel that was refused is not tried again for about a second, and calls to a run that lost power lasted until their deadline.

Change: what the directory lists is greeted by datagram, and who is greeted by somebody it did not know answers with its own statement; a daemon that hears from a peer it does not know asks that peer for its table; connections to an earlier run are given up when a later one is known.

--- a/endivestep/src/main/kotlin/org/endivestep/membership/DaemonDirectory.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/membership/DaemonDirectory.kt
@@ -15,7 +15,7 @@
 
 /**
  * Finds other daemons through the store: each keeps its address there in an object of its own, and
- * one that starts reads all of them and exchanges tables with those it does not know yet. After that
+ * one that starts reads all of them and introduces itself to those it does not know yet. After that
  * gossip keeps the members up to date, and the store is read rarely.
  */
 internal class DaemonDirectory(
@@ -61,7 +61,10 @@
         val listed = store.list(collection, allowStale = true)
         if (listed is ListedCollection.Items) {
             readings++
-            strangers(listed.items).shuffled(java.util.Random(random.nextLong())).take(EXCHANGES).forEach(exchange)
+            val strangers = strangers(listed.items).shuffled(java.util.Random(random.nextLong()))
+            gossip.greet(strangers.take(MOST_GREETED))
+            // The rest of a large fleet is heard of from one of them.
+            if (strangers.size > MOST_GREETED) exchange(strangers.first())
         } else {
             logger.warn { "cannot read the addresses of other daemons: $listed" }
             Thread.sleep(FIRST_PAUSE_MS)
@@ -80,10 +83,10 @@
 
     private companion object {
         val collection = CollectionName("daemons")
-        val pausesMs = longArrayOf(200, 800, 1_500, 3_000, 8_000)
+        val pausesMs = longArrayOf(20, 400, 800, 1_500, 3_000, 8_000)
         const val FIRST_PAUSE_MS = 300L
         const val MAX_PAUSE_MS = 3_000L
         const val RARELY_MS = 120_000L
-        const val EXCHANGES = 3
+        const val MOST_GREETED = 64
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/membership/Gossip.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/membership/Gossip.kt
@@ -33,6 +33,8 @@
         class Tell(val entries: List<SuspicionEntry>) : Event
 
         class MergeAll(val infos: Collection<MemberInfo>) : Event
+
+        class Greet(val addresses: List<Address>) : Event
     }
 
     private val ring = Ring<Event>(RING_CAPACITY)
@@ -69,6 +71,9 @@
 
     fun mergeAll(infos: Collection<MemberInfo>) = offer(Event.MergeAll(infos))
 
+    /** Introduces this daemon to those at [addresses]. */
+    fun greet(addresses: List<Address>) = offer(Event.Greet(addresses))
+
     fun stop() {
         duties.forEach { it.stop() }
         socket.close()
@@ -104,6 +109,7 @@
             is Event.StateSelf -> protocol.stateSelf(event.change)
             is Event.Tell -> protocol.tell(event.entries)
             is Event.MergeAll -> protocol.mergeAll(event.infos, nowMs)
+            is Event.Greet -> protocol.greet(event.addresses)
             is Event.Packet -> handlePacket(event, nowMs)
         }
 
--- a/endivestep/src/main/kotlin/org/endivestep/membership/GossipProtocol.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/membership/GossipProtocol.kt
@@ -65,6 +65,7 @@
     private var nextPeriodMs = 0L
     private var mismatches = 0
     private var nextSynchronizeMs = 0L
+    private var nextStrangerMs = 0L
 
     init {
         dissemination.add(self)
@@ -99,6 +100,13 @@
         return if (news.isEmpty()) emptyList() else push()
     }
 
+    /**
+     * Introduces this daemon to those at [addresses], of which it knows nothing else. Each answers with
+     * its own statement, so that daemons that start together know one another after one exchange.
+     */
+    fun greet(addresses: List<Address>): List<GossipAction> =
+        addresses.map { GossipAction.Send(it, compose(GossipType.PING, nextSequence++, introduces = true)) }
+
     /** Lets time pass: probes, time-outs, suspicion, removal. */
     fun tick(nowMs: Long): List<GossipAction> {
         val actions = mutableListOf<GossipAction>()
@@ -116,6 +124,8 @@
         val actions = mutableListOf<GossipAction>()
         val news = message.members.mapNotNull { table.merge(it, nowMs) }
         news.forEach(dissemination::add)
+        val isIntroduction = news.any { it.vm == message.from }
+        if (table.find(message.from) == null) actions += askStranger(source, nowMs)
         // A peer that still tells of an earlier state of this daemon hears of the current one.
         if (message.members.any { table.self.supersedes(it) && it.vm == table.self.vm }) dissemination.add(table.self)
         val freshSuspicions = suspicions.fresh(message.suspicions)
@@ -123,14 +133,22 @@
         if (news.isNotEmpty() || freshSuspicions.isNotEmpty()) actions += push()
         if (!overrides().containsAll(message.overrides)) actions += GossipAction.Overrides(message.overrides)
         if (message.configurationVersion > configurationVersion()) actions += GossipAction.FetchConfiguration(source)
-        actions += answer(message, source)
+        actions += answer(message, source, isIntroduction)
         actions += compareDigest(message, source, nowMs)
         return actions
     }
 
-    private fun answer(message: GossipMessage, source: Address): List<GossipAction> =
+    // A peer that this daemon does not know remembers an earlier run of it, and knows the other members.
+    private fun askStranger(source: Address, nowMs: Long): List<GossipAction> {
+        if (nowMs < nextStrangerMs) return emptyList()
+        nextStrangerMs = nowMs + settings.periodMs
+        return listOf(GossipAction.Synchronize(source))
+    }
+
+    private fun answer(message: GossipMessage, source: Address, introduces: Boolean): List<GossipAction> =
         when (message.type) {
-            GossipType.PING -> listOf(GossipAction.Send(source, compose(GossipType.ACK, message.sequence, about = message.from)))
+            GossipType.PING ->
+                listOf(GossipAction.Send(source, compose(GossipType.ACK, message.sequence, about = message.from, introduces = introduces)))
             GossipType.ACK -> acknowledged(message.sequence)
             GossipType.PING_REQUEST -> relayPing(message, source)
             GossipType.UPDATE -> emptyList()
@@ -227,17 +245,24 @@
             GossipAction.Send(it.inner, compose(GossipType.UPDATE, nextSequence++))
         }
 
-    private fun compose(type: GossipType, sequence: Long, target: VmName? = null, about: VmName? = null): GossipMessage {
+    private fun compose(
+        type: GossipType,
+        sequence: Long,
+        target: VmName? = null,
+        about: VmName? = null,
+        introduces: Boolean = false,
+    ): GossipMessage {
         val news = dissemination.take(settings.membersAMessage, table.members.size)
         // A member that is not thought alive hears of it, so that it can answer.
         val subject = about?.let(table::find)?.takeIf { it.state != MemberState.ALIVE && it !in news }
+        val self = table.self.takeIf { introduces && it !in news }
         return GossipMessage(
             type = type,
             from = table.self.vm,
             sequence = sequence,
             target = target,
             configurationVersion = configurationVersion(),
-            members = news + listOfNotNull(subject),
+            members = news + listOfNotNull(subject, self),
             suspicions = suspicions.take(),
             overrides = overrides(),
             digest = table.digest,
--- a/endivestep/src/main/kotlin/org/endivestep/membership/MemberInfo.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/membership/MemberInfo.kt
@@ -29,7 +29,7 @@
     val state: MemberState,
     val worker: WorkerInfo?,
 ) {
-    val generation: Long get() = incarnation.text.substringBefore('-').toLongOrNull() ?: 0
+    val generation: Long get() = incarnation.generation
 
     /** Whether this is newer knowledge of the member than [other]. */
     fun supersedes(other: MemberInfo): Boolean = order.compare(this, other) > 0
@@ -47,5 +47,8 @@
     }
 }
 
+/** Grows with each run of a daemon: the time of its start in ms, or more where its clock went back. */
+internal val DaemonIncarnation.generation: Long get() = text.substringBefore('-').toLongOrNull() ?: 0
+
 /** Makes the identity of a daemon's run that began at [startMs]. */
 internal fun newDaemonIncarnation(startMs: Long, random: String): DaemonIncarnation = DaemonIncarnation("$startMs-$random")
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeClient.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeClient.kt
@@ -39,7 +39,7 @@
     /** Runs [request] at [peer]; blocks until the answer begins or the attempt fails. */
     fun attempt(peer: Peer, attempt: AttemptRequest): AttemptResult {
         val request = attempt.withStreamedBody(MAX_BODY_BEFORE_ADMISSION_BYTES)
-        val channel = channels.next(peer.address)
+        val channel = channels.next(peer)
         val call = ExchangeCall(channel, CallOptions.DEFAULT)
         val sentMs = monotonicMs()
         try {
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/PeerChannels.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/PeerChannels.kt
@@ -8,6 +8,8 @@
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
 import jdk.net.ExtendedSocketOptions
+import org.endivestep.identity.DaemonIncarnation
+import org.endivestep.membership.generation
 import org.endivestep.settings.Address
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
@@ -25,10 +27,25 @@
     private inner class Lanes(val address: Address) {
         private val channels = arrayOf(open(address), open(address))
         private val turn = AtomicInteger()
+        private var run: DaemonIncarnation? = null
+
+        // Connections to an earlier run lead nowhere, and refused ones would not be tried again for a second.
+        @Synchronized
+        fun next(run: DaemonIncarnation): ManagedChannel {
+            val known = this.run
+            if (known == null || run.generation > known.generation) this.run = run
+            if (known != null && this.run != known) reopen()
+            return next()
+        }
 
         @Synchronized
         fun next(): ManagedChannel = channels[Math.floorMod(turn.getAndIncrement(), channels.size)]
 
+        private fun reopen() {
+            channels.forEach { it.shutdownNow() }
+            channels.indices.forEach { channels[it] = open(address) }
+        }
+
         @Synchronized
         fun other(channel: ManagedChannel): ManagedChannel = channels.first { it !== channel }
 
@@ -49,6 +66,9 @@
 
     fun next(peer: Address): ManagedChannel = lanes(peer).next()
 
+    /** Returns a connection to the run of a daemon that [peer] names; calls to an earlier run end with it. */
+    fun next(peer: Peer): ManagedChannel = lanes(peer.address).next(peer.incarnation)
+
     /** Returns a connection to [peer] that is not [channel]. */
     fun other(peer: Address, channel: ManagedChannel): ManagedChannel = lanes(peer).other(channel)
 
--- a/endivestep/src/test/kotlin/org/endivestep/protocol/ExchangeWireTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/protocol/ExchangeWireTest.kt
@@ -113,7 +113,7 @@
         test("a call that can still leave counts as sent") {
             Wire(EgressBench(worker = answering())).use { wire ->
                 val release = CountDownLatch(1)
-                val channel = wire.channels.next(wire.peer.address)
+                val channel = wire.channels.next(wire.peer)
                 stallTransport(channel, release)
                 val call = ExchangeCall(channel, CallOptions.DEFAULT)
                 call.start(sampleAttempt("late").toHead(Wire.incarnation, monotonicMs()), streams = false)
--- /dev/null
+++ b/endivestep/src/test/kotlin/org/endivestep/protocol/PeerRestartTest.kt
@@ -0,0 +1,105 @@
+package org.endivestep.protocol
+
+import io.grpc.Server
+import io.grpc.netty.NettyServerBuilder
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.longs.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import org.endivestep.egress.WorkerResult
+import org.endivestep.exchange.monotonicMs
+import org.endivestep.fakes.EgressBench
+import org.endivestep.fakes.Relay
+import org.endivestep.fakes.answering
+import org.endivestep.fakes.sampleAttempt
+import org.endivestep.identity.DaemonIncarnation
+import org.endivestep.outcome.AttemptResult
+import org.endivestep.outcome.NotRunReason
+import org.endivestep.settings.Address
+import java.io.Closeable
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+import java.util.concurrent.Callable
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+
+private const val SECRET = "a secret of the tests"
+private val firstRun = DaemonIncarnation("1-run")
+private val secondRun = DaemonIncarnation("2-run")
+
+/** A client, and daemons that are started at a port one after the other. */
+private class Restarts : Closeable {
+    val threads = Executors.newCachedThreadPool()
+    private val servers = mutableListOf<Server>()
+    private val channels = PeerChannels(InnerSecurity(SECRET))
+    val client = ExchangeClient(channels, threads)
+
+    fun start(port: Int, bench: EgressBench, run: DaemonIncarnation): Int {
+        val server =
+            NettyServerBuilder
+                .forAddress(InetSocketAddress("127.0.0.1", port))
+                .intercept(InnerSecurity(SECRET).serverInterceptor { })
+                .callExecutor(executorOfCalls(threads))
+                .addService(ExchangeServer(bench.egress, { run }, threads))
+                .build()
+                .start()
+        servers += server
+        return server.port
+    }
+
+    override fun close() {
+        channels.close()
+        servers.forEach { it.shutdownNow() }
+        threads.shutdownNow()
+    }
+}
+
+class PeerRestartTest :
+    FunSpec({
+        test("a daemon that starts again is reached at once, though connections to its last run were refused") {
+            Restarts().use { restarts ->
+                val port = ServerSocket(0).use { it.localPort }
+                val address = Address("127.0.0.1", port)
+                repeat(4) {
+                    val refused = restarts.client.attempt(Peer(address, firstRun), sampleAttempt("refused-$it"))
+                    (refused as AttemptResult.NotRun).reason shouldBe NotRunReason.DAEMON_UNREACHABLE
+                }
+                restarts.start(port, EgressBench(worker = answering()), secondRun)
+                repeat(2) {
+                    restarts.client.attempt(
+                        Peer(address, secondRun),
+                        sampleAttempt("after-$it"),
+                    ).shouldBeInstanceOf<AttemptResult.Answered>()
+                }
+            }
+        }
+
+        test("a call to a run that has ended without a sign ends when the next run is known") {
+            Restarts().use { restarts ->
+                val running = CountDownLatch(1)
+                val release = CountDownLatch(1)
+                val stuck =
+                    EgressBench { _, _ ->
+                        running.countDown()
+                        release.await(20, TimeUnit.SECONDS)
+                        WorkerResult.Failed("the machine lost power", timedOut = false)
+                    }
+                val old = Relay(restarts.start(0, stuck, firstRun))
+                val address = Address("127.0.0.1", old.port)
+                val lost = restarts.threads.submit(
+                    Callable {
+                        restarts.client.attempt(Peer(address, firstRun), sampleAttempt(remainingMs = 9_000))
+                    },
+                )
+                running.await(5, TimeUnit.SECONDS) shouldBe true
+                old.silence()
+                val startMs = monotonicMs()
+                restarts.client.attempt(Peer(address, secondRun), sampleAttempt("after"))
+                lost.get(9, TimeUnit.SECONDS).shouldBeInstanceOf<AttemptResult.Unknown>()
+                (monotonicMs() - startMs) shouldBeLessThan 1_000
+                release.countDown()
+                old.close()
+            }
+        }
+    })
