Let requests that will be late stand behind those that will not

Cause: under more load than a worker bears, requests waited in the order of arrival until each was answered just after its objective. The order knew late requests, but judged them when they came and without the wait before them.

Change: WaitingLine, a pure state machine: a request for which the line is too long when it comes stands behind those in time, and one that becomes late steps back.

--- a/endivestep/src/main/kotlin/org/endivestep/admission/AdmissionQueue.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/admission/AdmissionQueue.kt
@@ -37,18 +37,16 @@
 /**
  * Admits requests within an [AdmissionLimit] and lets a bounded number wait for a bounded time.
  *
- * Requests that wait are admitted in the order of [waitingOrder], equal ones in the order of their
- * arrival. Thread-safe; [admit] blocks its thread while it waits.
+ * Requests that wait are admitted in the order of [WaitingLine]. Thread-safe; [admit] blocks its thread while it waits.
  */
 internal class AdmissionQueue(private var settings: LimitSettings, private val clockMs: () -> Long) {
-    private class Waiter(val request: AdmissionRequest, val late: Boolean, val admitted: Condition) {
+    private class Waiter(val request: AdmissionRequest, val admitted: Condition) : WaitingRequest(request.rank, request.workMs) {
         var admission: Admission? = null
-        val place = WaitingPlace(request.rank, late)
     }
 
     private val limit = AdmissionLimit(settings)
     private val pace = ColdPace()
-    private val waiting = ArrayDeque<Waiter>()
+    private val waiting = WaitingLine<Waiter>()
     private var runningAlone = false
     private var closedFor: NotRunReason? = null
     private var slownessPercent = 0
@@ -87,7 +85,7 @@
     fun close(reason: NotRunReason) =
         lock.withLock {
             closedFor = reason
-            while (waiting.isNotEmpty()) decide(waiting.first(), Admission.Refused(reason))
+            while (true) decide(waiting.first(clockMs()) ?: break, Admission.Refused(reason))
         }
 
     fun open() = lock.withLock { closedFor = null }
@@ -96,11 +94,12 @@
     fun admit(request: AdmissionRequest): Admission {
         lock.withLock {
             closedFor?.let { return Admission.Refused(it) }
-            if (waiting.isEmpty()) tryAdmit(request.occupancy)?.let { return it }
+            if (waiting.isEmpty) tryAdmit(request.occupancy)?.let { return it }
             val nowMs = clockMs()
-            val waiter = Waiter(request, nowMs + request.workMs > request.rank.objectiveAtMs, lock.newCondition())
+            val waiter = Waiter(request, lock.newCondition())
             val longestMs = minOf(request.patienceMs, settings.queueWaitMs)
-            if (longestMs <= 0 || waiting.size >= settings.queueLength || expectedWaitMs(waiter) > longestMs) {
+            waiter.expectWait(expectedWaitMs(waiter, nowMs), nowMs)
+            if (longestMs <= 0 || waiting.size >= settings.queueLength || expectedWaitMs(waiter, nowMs) > longestMs) {
                 return Admission.Refused(NotRunReason.OVERLOADED)
             }
             return await(waiter, nowMs + longestMs)
@@ -108,11 +107,11 @@
     }
 
     // Work that is not known is waited for.
-    private fun expectedWaitMs(waiter: Waiter): Double {
-        if (waiter.request.workMs <= 0.0) return 0.0
+    private fun expectedWaitMs(waiter: Waiter, nowMs: Long): Double {
+        if (waiter.workMs <= 0.0) return 0.0
         val places = limit.load.limit.coerceAtLeast(1)
-        val aheadMs = waiting.filter { waitingOrder.compare(it.place, waiter.place) <= 0 }.sumOf { it.request.workMs }
-        return maxOf((aheadMs + waiter.request.workMs / 2) / places, pace.delayMs(clockMs()).toDouble())
+        val aheadMs = waiting.workAheadMs(waiter, nowMs)
+        return maxOf((aheadMs + waiter.workMs / 2) / places, pace.delayMs(nowMs).toDouble())
     }
 
     /** Ends an admitted request. */
@@ -126,7 +125,7 @@
     }
 
     private fun await(waiter: Waiter, untilMs: Long): Admission {
-        enqueue(waiter)
+        waiting.add(waiter)
         try {
             while (waiter.admission == null) {
                 val nowMs = clockMs()
@@ -143,11 +142,6 @@
         }
     }
 
-    private fun enqueue(waiter: Waiter) {
-        val behind = waiting.indexOfFirst { waitingOrder.compare(waiter.place, it.place) < 0 }
-        if (behind < 0) waiting.addLast(waiter) else waiting.add(behind, waiter)
-    }
-
     // A request that only the pace holds back is admitted when the pace allows it, not at a release.
     private fun paceMs(nowMs: Long): Long = pace.delayMs(nowMs).takeIf { it > 0 } ?: Long.MAX_VALUE
 
@@ -156,8 +150,8 @@
     }
 
     private fun admitWaiting() {
-        while (waiting.isNotEmpty()) {
-            val next = waiting.first()
+        while (true) {
+            val next = waiting.first(clockMs()) ?: break
             decide(next, tryAdmit(next.request.occupancy) ?: break)
         }
     }
@@ -180,16 +174,3 @@
         return Admission.Admitted(permit)
     }
 }
-
-/** What decides the order among waiting requests; [late] ones cannot be answered in time any more. */
-internal data class WaitingPlace(val rank: RequestRank, val late: Boolean)
-
-/**
- * Calls of other workers go first, because refusing one wastes the work of its parent; then the
- * higher priority, requests that can still be answered in time, and those that were refused before.
- */
-internal val waitingOrder: Comparator<WaitingPlace> =
-    compareBy<WaitingPlace> { !it.rank.nested }
-        .thenBy { it.rank.priority }
-        .thenBy { it.late }
-        .thenBy { !it.rank.repeated }
--- /dev/null
+++ b/endivestep/src/main/kotlin/org/endivestep/admission/WaitingLine.kt
@@ -0,0 +1,76 @@
+package org.endivestep.admission
+
+import org.endivestep.exchange.RequestRank
+
+/**
+ * A request that waits for a place at the worker; [workMs] is the time that its work will probably
+ * take, 0 when it is not known.
+ */
+internal open class WaitingRequest(val rank: RequestRank, val workMs: Double) {
+    /** Whether the line was already too long for an answer in time when the request came. */
+    var cameTooLate = false
+        private set
+
+    /** Whether the request will probably not be answered in time when its work begins at [nowMs]. */
+    fun isLate(nowMs: Long): Boolean = cameTooLate || endsLate(nowMs.toDouble())
+
+    /** Notes that the request will begin only after [waitMs]. */
+    fun expectWait(waitMs: Double, nowMs: Long) {
+        cameTooLate = endsLate(nowMs + waitMs)
+    }
+
+    private fun endsLate(beginMs: Double): Boolean = beginMs + workMs * LONG_WORK > rank.objectiveAtMs
+
+    private companion object {
+        // Work that takes longer than usual, in parts of the usual time.
+        const val LONG_WORK = 1.25
+    }
+}
+
+/** What decides the order among waiting requests; [late] ones cannot be answered in time any more. */
+internal data class WaitingPlace(val rank: RequestRank, val late: Boolean)
+
+/**
+ * Calls of other workers go first, because refusing one wastes the work of its parent; then the
+ * higher priority, requests that can still be answered in time, and those that were refused before.
+ */
+internal val waitingOrder: Comparator<WaitingPlace> =
+    compareBy<WaitingPlace> { !it.rank.nested }
+        .thenBy { it.rank.priority }
+        .thenBy { it.late }
+        .thenBy { !it.rank.repeated }
+
+/**
+ * Requests that wait for one worker, in the order of [waitingOrder], equal ones as they came.
+ *
+ * Under more load than the worker bears, a line in the order of arrival grows until every request in
+ * it is answered late. So a request for which the line is too long when it comes stands behind
+ * those that are still answered in time, and one that has become late meanwhile steps back.
+ *
+ * A pure state machine: times are in ms. Not thread-safe.
+ */
+internal class WaitingLine<W : WaitingRequest> {
+    private val waiting = ArrayList<W>()
+
+    val size: Int get() = waiting.size
+    val isEmpty: Boolean get() = waiting.isEmpty()
+
+    fun add(request: W) {
+        waiting.add(request)
+    }
+
+    fun remove(request: W) {
+        waiting.remove(request)
+    }
+
+    /** Returns the request that is to begin next, or null when none waits. */
+    fun first(nowMs: Long): W? = waiting.minWithOrNull(compareBy(waitingOrder) { it.place(nowMs) })
+
+    /** Returns the sum of the work in ms that goes before [request] if it comes now. */
+    fun workAheadMs(request: W, nowMs: Long): Double {
+        val place = request.place(nowMs)
+        return waiting.filter { waitingOrder.compare(it.place(nowMs), place) <= 0 }.sumOf { it.workMs }
+    }
+
+    private fun WaitingRequest.place(nowMs: Long) = WaitingPlace(rank, isLate(nowMs))
+}
