Start with less work, log each request with its facts, and rank calls of the worker first

Log: a line a request with facts by name; requests in trouble have a bound of their own; lines that are left out are counted. A worker's failure is logged beside it with its cause.

Rank: what comes from this VM's own address is a call of its worker, and goes first in the line.

--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -7,6 +7,7 @@
 import org.endivestep.choice.CompletionEstimates
 import org.endivestep.choice.KindProfiles
 import org.endivestep.choice.Locality
+import org.endivestep.choice.completionMs
 import org.endivestep.choice.earliestCompletion
 import org.endivestep.configuration.ConfigurationAdoption
 import org.endivestep.configuration.ConfigurationFetcher
@@ -132,7 +133,7 @@
             attempts,
             crashes,
             platformDialect,
-            { profiles.usualMs(it.kind) },
+            { completionMs(profiles.usualMs(it.kind), admission.load.slownessPercent) },
             nettyWorkerCall(connections, platformHeaders),
         )
     private val channels = PeerChannels(security)
@@ -201,6 +202,9 @@
         readiness.start()
         if (settings.metricsPort != 0) metricsListener.start()
         registerPlatformGauges(metrics, gossip, admission, adoption, crashes, operator)
+        metrics.gauge("endivestep.log.lines.left.out", "Lines on requests that were not written, to keep their bound") {
+            ingress.logLinesLeftOut
+        }
         innerServer.start()
         gossip.start()
         operator.start()
--- a/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
@@ -1,5 +1,6 @@
 package org.endivestep.egress
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import org.endivestep.admission.Admission
 import org.endivestep.admission.AdmissionLimit
 import org.endivestep.admission.AdmissionQueue
@@ -12,12 +13,16 @@
 import org.endivestep.exchange.monotonicMs
 import org.endivestep.identity.AttemptId
 import org.endivestep.identity.DataCentreName
+import org.endivestep.metrics.DecisionLine
+import org.endivestep.metrics.DecisionLog
 import org.endivestep.outcome.AttemptResult
 import org.endivestep.outcome.NotRunReason
 import org.endivestep.outcome.UnknownReason
 import org.endivestep.quarantine.Standing
 
+private val logger = KotlinLogging.logger {}
 private const val FIRST_SERVER_ERROR = 500
+private const val LOG_LINES_A_SECOND = 30
 
 /**
  * Admits requests to the worker beside this daemon and runs them there.
@@ -36,6 +41,8 @@
     private val expectedWorkMs: (AttemptRequest) -> Double = { 0.0 },
     private val call: WorkerCall,
 ) {
+    private val log = DecisionLog(logger, LOG_LINES_A_SECOND, ::monotonicMs)
+
     @Volatile
     private var stopping = false
 
@@ -130,12 +137,34 @@
         var result: WorkerResult? = null
         try {
             result = call(worker, run.request)
+            note(run, worker, result)
             return result
         } finally {
             if (result == null) run.end(Completion.Cancelled, connectionLost = false)
         }
     }
 
+    private fun note(run: EgressRun, worker: LocalWorker, result: WorkerResult) {
+        val cause =
+            when (result) {
+                is WorkerResult.Failed -> result.cause
+                is WorkerResult.NotSent -> result.cause
+                else -> return
+            }
+        log.write {
+            val facts =
+                mapOf(
+                    "request" to run.request.requestId.text,
+                    "attempt" to run.request.attemptId.text,
+                    "worker" to worker.announcement.incarnation.text,
+                    "cause" to cause,
+                    "elapsedMs" to run.elapsedMs().toLong(),
+                    "sent" to (result is WorkerResult.Failed),
+                )
+            DecisionLine("the worker gave no answer", facts)
+        }
+    }
+
     private fun announceAdmission(permit: AdmissionLimit.Permit, onAdmitted: () -> Unit) {
         var told = false
         try {
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/ReceivedRequest.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/ReceivedRequest.kt
@@ -11,7 +11,12 @@
 internal const val MAX_COLLECTED_BYTES = 524_288
 
 /** A request whose body is still being received. Called by the thread of its connection. */
-internal class ReceivedRequest(private val head: HttpRequest, private val length: Long, private val maxBytes: Long) {
+internal class ReceivedRequest(
+    private val head: HttpRequest,
+    private val length: Long,
+    private val maxBytes: Long,
+    private val fromOwnVm: Boolean,
+) {
     enum class Step { INCOMPLETE, START, TOO_LONG }
 
     private val arrivedMs = monotonicMs()
@@ -52,14 +57,8 @@
     val keepsAlive: Boolean get() = HttpUtil.isKeepAlive(head)
 
     fun toRequest(): CallerRequest {
-        val streamed = stream
-        val body = if (streamed ==
-            null
-        ) {
-            RequestBody.Inline(collected.toByteArray())
-        } else {
-            RequestBody.Streamed(UnreadStream(streamed), length)
-        }
-        return CallerRequest(head.method().name(), head.uri(), head.headers().map { HeaderField(it.key, it.value) }, body, arrivedMs)
+        val body = stream?.let { RequestBody.Streamed(UnreadStream(it), length) } ?: RequestBody.Inline(collected.toByteArray())
+        val headers = head.headers().map { HeaderField(it.key, it.value) }
+        return CallerRequest(head.method().name(), head.uri(), headers, body, arrivedMs, fromOwnVm)
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
@@ -1,6 +1,5 @@
 package org.endivestep.ingress
 
-import io.github.oshai.kotlinlogging.KotlinLogging
 import org.endivestep.document.Document
 import org.endivestep.document.Kind
 import org.endivestep.document.RouteRule
@@ -16,7 +15,6 @@
 import org.endivestep.identity.RequestId
 import org.endivestep.identity.ServiceName
 import org.endivestep.identity.randomId
-import org.endivestep.metrics.DecisionLog
 import org.endivestep.metrics.FinalOutcome
 import org.endivestep.metrics.OutcomeCounters
 import org.endivestep.metrics.OutcomeLabel
@@ -25,12 +23,10 @@
 import org.endivestep.outcome.NotRunReason
 import org.endivestep.outcome.UnknownReason
 import org.endivestep.outcome.status
+import java.math.BigDecimal
 import java.security.MessageDigest
 import java.util.concurrent.atomic.AtomicInteger
 
-private val logger = KotlinLogging.logger {}
-private const val LINES_A_SECOND = 50
-
 /** Returns the time in ms after which a caller should send a refused request again. */
 internal typealias ReturnTime = (RouteRule?, NotRunReason, remainingMs: Long) -> Long
 
@@ -46,9 +42,9 @@
     private val dispatch: (IncomingCall, AttemptId) -> AttemptResult,
     private val returnTime: ReturnTime,
     private val counters: OutcomeCounters,
-    private val configurationVersion: () -> Long,
+    configurationVersion: () -> Long,
 ) {
-    private val decisions = DecisionLog(logger, LINES_A_SECOND, ::monotonicMs)
+    private val log = RequestLog(headers, configurationVersion)
     private val active = AtomicInteger()
     private val refused = RefusedLately()
 
@@ -58,6 +54,9 @@
     /** Requests that have no answer yet. */
     val activeCount: Int get() = active.get()
 
+    /** Lines of the log that were left out to keep their bound. */
+    val logLinesLeftOut: Long get() = log.linesLeftOut
+
     /** Refuses from now on what may not be answered before [untilMs], when this daemon ends. */
     fun endAt(untilMs: Long) {
         endMs = untilMs
@@ -109,7 +108,7 @@
             idempotencyKey = null,
             fingerprint = fingerprint,
             maxAttempts = rule.maxAttempts,
-            rank = RequestRank(rule.priority, (firstMs ?: request.arrivedMs) + rule.objectiveMs, repeated = firstMs != null),
+            rank = RequestRank(rule.priority, (firstMs ?: request.arrivedMs) + rule.objectiveMs, request.fromOwnVm, firstMs != null),
         )
     }
 
@@ -122,7 +121,7 @@
     private fun reply(request: CallerRequest, rule: RouteRule, call: IncomingCall, result: AttemptResult): CallerReply =
         when (result) {
             is AttemptResult.Answered -> {
-                count(rule, FinalOutcome.ANSWERED, "")
+                note(request, RequestDecision(FinalOutcome.ANSWERED, result.head.status, "", rule, call))
                 counters.time(call.service.name.text, monotonicMs() - request.arrivedMs)
                 CallerReply(result.head.status, result.head.headers.forwarded(), result.body, result.head.contentLength)
             }
@@ -131,38 +130,30 @@
         }
 
     private fun refusal(request: CallerRequest, rule: RouteRule?, reason: NotRunReason, call: IncomingCall? = null): CallerReply {
-        count(rule, FinalOutcome.NOT_RUN, reason.text)
-        log(request, rule, "refused as not run: ${reason.text}", call)
         val deadlineMs = request.header(headers.deadlineMs)?.toLongOrNull() ?: 0
         val remainingMs = request.arrivedMs + deadlineMs - monotonicMs()
         val status = if (reason == NotRunReason.NO_ROUTE) reason.status() else NOT_RUN_STATUS
-        val seconds = "%.3f".format(returnTime(rule, reason, remainingMs) / MS_A_SECOND)
+        val returnMs = returnTime(rule, reason, remainingMs)
+        note(request, RequestDecision(FinalOutcome.NOT_RUN, status, reason.text, rule, call, returnMs))
+        val seconds = BigDecimal.valueOf(returnMs, DIGITS_OF_MS).toPlainString()
         return emptyReply(status, echo(request) + HeaderField(headers.retryAfter, seconds))
     }
 
     private fun failure(request: CallerRequest, call: IncomingCall, rule: RouteRule, reason: UnknownReason): CallerReply {
-        count(rule, FinalOutcome.UNKNOWN, reason.text)
-        log(request, rule, "failed, may have run: ${reason.text}", call)
-        return emptyReply(if (reason == UnknownReason.TIMEOUT) TIMEOUT_STATUS else FAILURE_STATUS, echo(request))
+        val status = if (reason == UnknownReason.TIMEOUT) TIMEOUT_STATUS else FAILURE_STATUS
+        note(request, RequestDecision(FinalOutcome.UNKNOWN, status, reason.text, rule, call))
+        return emptyReply(status, echo(request))
     }
 
-    private fun log(request: CallerRequest, rule: RouteRule?, outcome: String, call: IncomingCall?) =
-        decisions.write {
-            "request ${request.header(headers.requestId)} $outcome; route ${rule?.name?.text ?: "none for ${request.target}"}, " +
-                "service ${call?.service?.name?.text}, after ${monotonicMs() - request.arrivedMs} of ${request.header(
-                    headers.deadlineMs,
-                )} ms, " +
-                "time-out ${rule?.timeoutMs} ms, configuration ${configurationVersion()}, attempts ${call?.trace.orEmpty()}"
-        }
+    private fun note(request: CallerRequest, decision: RequestDecision) {
+        val service = decision.rule?.destinations?.first()?.service?.text.orEmpty()
+        counters.count(OutcomeLabel(service, decision.rule?.name?.text.orEmpty(), decision.outcome, decision.reason))
+        log.write(request, decision)
+    }
 
     private fun echo(request: CallerRequest): List<HeaderField> =
         listOfNotNull(request.header(headers.requestId)?.let { HeaderField(headers.requestId, it) })
 
-    private fun count(rule: RouteRule?, outcome: FinalOutcome, reason: String) {
-        val service = rule?.destinations?.first()?.service?.text.orEmpty()
-        counters.count(OutcomeLabel(service, rule?.name?.text.orEmpty(), outcome, reason))
-    }
-
     // A request that comes again has the same service, path, origin and body, but another id.
     private fun fingerprint(request: CallerRequest, service: Service): Fingerprint {
         val digest = MessageDigest.getInstance("MD5")
@@ -178,6 +169,8 @@
         const val NOT_RUN_STATUS = 503
         const val FAILURE_STATUS = 502
         const val TIMEOUT_STATUS = 504
-        const val MS_A_SECOND = 1_000.0
+
+        // A time in seconds with three digits after the point states whole ms.
+        const val DIGITS_OF_MS = 3
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/metrics/DaemonMetrics.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/metrics/DaemonMetrics.kt
@@ -11,15 +11,20 @@
 internal class DaemonMetrics {
     val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
 
-    init {
-        JvmMemoryMetrics().bindTo(registry)
-        ProcessorMetrics().bindTo(registry)
-    }
+    // Bound when they are first asked for, because finding the JVM's own counters is slow and a start must be short.
+    private val processMetrics =
+        lazy {
+            JvmMemoryMetrics().bindTo(registry)
+            ProcessorMetrics().bindTo(registry)
+        }
 
     /** Registers a value that is read when metrics are asked for. */
     fun gauge(name: String, description: String, tags: Tags = Tags.empty(), read: () -> Number) {
         Gauge.builder(name) { read().toDouble() }.description(description).tags(tags).register(registry)
     }
 
-    fun scrape(): String = registry.scrape()
+    fun scrape(): String {
+        processMetrics.value
+        return registry.scrape()
+    }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/metrics/DecisionLog.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/metrics/DecisionLog.kt
@@ -3,6 +3,9 @@
 import io.github.oshai.kotlinlogging.KLogger
 import java.util.concurrent.atomic.AtomicLong
 
+/** One line of a log: a sentence, and the facts behind it by name. */
+internal class DecisionLine(val message: String, val facts: Map<String, Any>)
+
 /**
  * Writes at most [linesASecond] lines in each second of [clockMs]; the others are counted, and the
  * count is written with the next line. Never blocks. Thread-safe.
@@ -15,10 +18,13 @@
     /** Lines that were not written since the start. */
     val suppressed = AtomicLong()
 
-    fun write(line: () -> String) {
+    fun write(line: () -> DecisionLine) {
         val earlier = admit() ?: return
-        val note = if (earlier > 0) " ($earlier lines before this one were left out)" else ""
-        logger.info { line() + note }
+        val made = line()
+        logger.atInfo {
+            message = made.message
+            payload = if (earlier > 0) made.facts + ("linesLeftOutBefore" to earlier) else made.facts
+        }
     }
 
     // Returns how many lines were left out before this one, or null when this one is left out as well.
