Learn beside the worker how long its work takes, and tell its load only to those who send

Cause: a daemon judged a waiting request by the usual time of its kind as seen by its own requests. Calls that only workers of other services make were unknown there and counted as 100 ms, 230 ms on a slow VM, in place of 40 ms, so most were refused at once with 460 of 500 ms left, and each refusal failed the run that had called. Ruled out: calls cannot be told from clients' requests by their address, both come from the VM's own.

Change: the egress learns times by kind from its worker's answers; of equal requests the one whose objective ends first begins first.

Load notices went to every daemon of the fleet, near ones for each tenth of the places: at 84 daemons each would send thousands a second.

--- a/endivestep/src/main/kotlin/org/endivestep/admission/WaitingLine.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/admission/WaitingLine.kt
@@ -32,13 +32,15 @@
 
 /**
  * Calls of other workers go first, because refusing one wastes the work of its parent; then the
- * higher priority, requests that can still be answered in time, and those that were refused before.
+ * higher priority, requests that can still be answered in time, those that were refused before, and
+ * those whose objective ends first.
  */
 internal val waitingOrder: Comparator<WaitingPlace> =
     compareBy<WaitingPlace> { !it.rank.nested }
         .thenBy { it.rank.priority }
         .thenBy { it.late }
         .thenBy { !it.rank.repeated }
+        .thenBy { it.rank.objectiveAtMs }
 
 /**
  * Requests that wait for one worker, in the order of [waitingOrder], equal ones as they came.
--- a/endivestep/src/main/kotlin/org/endivestep/choice/CompletionEstimates.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/choice/CompletionEstimates.kt
@@ -62,15 +62,22 @@
         val load = entry.load ?: return avoidedMs + completionMs(usualMs * factor(entry, nowMs), 0) + entry.own
         val slowness = if (nowMs - entry.reportedMs > STALE_AFTER_MS) 0 else load.slownessPercent
         val workMs = completionMs(usualMs * factor(entry, nowMs), slowness)
-        return avoidedMs + workMs + queueMs(load, (entry.own - entry.ownAtReport).coerceAtLeast(0), workMs)
+        val taken = takenNow(load, nowMs - entry.reportedMs) + (entry.own - entry.ownAtReport).coerceAtLeast(0)
+        return avoidedMs + workMs + queueMs(load, taken, workMs)
+    }
+
+    // What was told fades: a worker of which nothing is heard is probably neither full nor empty any more.
+    private fun takenNow(load: Load, ageMs: Long): Double {
+        val told = (load.inFlight + load.waiting).toDouble()
+        val usual = load.limit * USUAL_FULLNESS
+        return usual + (told - usual) * Math.pow(0.5, ageMs.toDouble() / LOAD_HALF_LIFE_MS)
     }
 
     // A worker that is fuller is also more likely to have filled up since it told its load.
-    private fun queueMs(load: Load, sentSince: Int, workMs: Double): Double {
+    private fun queueMs(load: Load, taken: Double, workMs: Double): Double {
         val places = load.limit.coerceAtLeast(1)
-        val taken = load.inFlight + load.waiting + sentSince
         if (taken < places) return FULLNESS_MS * taken / places
-        return FULLNESS_MS + waitMs(taken - places, places, workMs)
+        return FULLNESS_MS + waitMs((taken - places).toInt(), places, workMs)
     }
 
     private fun learnFactor(entry: Entry, kind: KindName, workerMs: Long) {
@@ -92,6 +99,8 @@
         const val STALE_AFTER_MS = 1_500L
         const val AVOIDED_MS = 1_000.0
         const val FULLNESS_MS = 40.0
+        const val USUAL_FULLNESS = 0.5
+        const val LOAD_HALF_LIFE_MS = 400.0
         const val FACTOR_WEIGHT = 0.15
         const val FACTOR_HALF_LIFE_MS = 2_000.0
         const val MAX_FACTOR = 20.0
--- a/endivestep/src/main/kotlin/org/endivestep/choice/KindProfiles.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/choice/KindProfiles.kt
@@ -28,7 +28,10 @@
     fun usualBytes(kind: KindName): Double = answerBytes[kind] ?: 0.0
 
     /** Returns the usual time of [kind], or [UNKNOWN_MS] before its first answer. */
-    fun usualMs(kind: KindName): Double = usualMs[kind] ?: UNKNOWN_MS
+    fun usualMs(kind: KindName): Double = knownMs(kind) ?: UNKNOWN_MS
+
+    /** Returns the usual time of [kind], or null before its first answer. */
+    fun knownMs(kind: KindName): Double? = usualMs[kind]
 
     private fun weight(known: Double, elapsedMs: Double): Double = if (elapsedMs < known) FALL_WEIGHT else RISE_WEIGHT
 
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/Daemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/Daemon.kt
@@ -122,9 +122,7 @@
     private val innerServer =
         innerServer(
             Address(settings.host, settings.innerPort),
-            security.serverInterceptor {
-                refusedStrangers.incrementAndGet()
-            },
+            listOf(security.serverInterceptor { refusedStrangers.incrementAndGet() }),
             executorOfCalls(pools.transport),
             innerServices(),
         )
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/InnerServer.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/InnerServer.kt
@@ -14,10 +14,10 @@
 private const val KEEP_ALIVE_PERMITTED_SECONDS = 5L
 private const val EVENT_LOOP_THREADS = 2
 
-/** Returns the stopped server that other daemons call. */
+/** Returns the stopped server that other daemons call; calls pass the last of [interceptors] first. */
 internal fun innerServer(
     address: Address,
-    interceptor: ServerInterceptor,
+    interceptors: List<ServerInterceptor>,
     executors: ServerCallExecutorSupplier,
     services: List<BindableService>,
 ): Server =
@@ -29,6 +29,6 @@
         .callExecutor(executors)
         .permitKeepAliveTime(KEEP_ALIVE_PERMITTED_SECONDS, TimeUnit.SECONDS)
         .permitKeepAliveWithoutCalls(true)
-        .intercept(interceptor)
+        .apply { interceptors.forEach(::intercept) }
         .apply { services.forEach(::addService) }
         .build()
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -7,7 +7,6 @@
 import org.endivestep.choice.CompletionEstimates
 import org.endivestep.choice.KindProfiles
 import org.endivestep.choice.Locality
-import org.endivestep.choice.completionMs
 import org.endivestep.choice.earliestCompletion
 import org.endivestep.configuration.ConfigurationAdoption
 import org.endivestep.configuration.ConfigurationFetcher
@@ -70,7 +69,9 @@
 import org.endivestep.protocol.LoadAudience
 import org.endivestep.protocol.LoadNotices
 import org.endivestep.protocol.PeerChannels
+import org.endivestep.protocol.RecentSenders
 import org.endivestep.protocol.executorOfCalls
+import org.endivestep.protocol.senderInterceptor
 import org.endivestep.protocol.toInfo
 import org.endivestep.quarantine.Quarantine
 import org.endivestep.settings.Address
@@ -133,8 +134,7 @@
             attempts,
             crashes,
             platformDialect,
-            { completionMs(profiles.usualMs(it.kind), admission.load.slownessPercent) },
-            nettyWorkerCall(connections, platformHeaders),
+            call = nettyWorkerCall(connections, platformHeaders),
         )
     private val channels = PeerChannels(security)
     private val exchanges = ExchangeClient(channels, pools.uploads)
@@ -159,10 +159,12 @@
             HandoverSettings(MOST_HANDOVERS, HANDOVER_PATIENCE_MS),
             ::attempt,
         )
+    private val senders = RecentSenders(::monotonicMs)
     private val notices =
         LoadNotices(
             DatagramSocket(inner.port + LoadNotices.PORT_OFFSET, InetAddress.getByName(inner.host)),
-            LoadAudience(settings.vm, settings.dataCentre) { gossip.members },
+            settings.vm,
+            LoadAudience(settings.vm, settings.dataCentre, { gossip.members }, senders),
             { admission.load },
             { vm, load -> synchronized(estimates) { estimates.report(vm, load) } },
         )
@@ -177,7 +179,12 @@
             counters,
         ) { adoption.version.number }
     private val innerServer =
-        innerServer(inner, security.serverInterceptor { }, executorOfCalls(pools.transport), innerServices())
+        innerServer(
+            inner,
+            listOf(senderInterceptor(senders), security.serverInterceptor { }),
+            executorOfCalls(pools.transport),
+            innerServices(),
+        )
     private val callers = CallerEdge(settings.callers, loops, pools.callers, ::callerLimits, ingress::answer)
     private val readiness =
         CallerEdge(settings.readiness, loops, pools.platform, ::callerLimits, readinessEndpoint(::isReady))
--- a/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
@@ -7,6 +7,8 @@
 import org.endivestep.admission.AdmissionRequest
 import org.endivestep.admission.Completion
 import org.endivestep.admission.Occupancy
+import org.endivestep.choice.KindProfiles
+import org.endivestep.choice.completionMs
 import org.endivestep.document.Document
 import org.endivestep.document.Service
 import org.endivestep.exchange.AttemptRequest
@@ -21,6 +23,7 @@
 import org.endivestep.quarantine.Standing
 
 private val logger = KotlinLogging.logger {}
+private const val FIRST_ERROR = 400
 private const val FIRST_SERVER_ERROR = 500
 private const val LOG_LINES_A_SECOND = 30
 
@@ -37,8 +40,8 @@
     private val attempts: AttemptRegistry,
     private val crashes: CrashWatch,
     private val dialect: WorkerDialect = dialectOfService,
-    /** Returns the time in ms that the worker will probably take, 0 when unknown. */
-    private val expectedWorkMs: (AttemptRequest) -> Double = { 0.0 },
+    /** How long the worker takes for each kind, learned here: other daemons send kinds that this one never does. */
+    private val workTimes: KindProfiles = KindProfiles(),
     private val call: WorkerCall,
 ) {
     private val log = DecisionLog(logger, LOG_LINES_A_SECOND, ::monotonicMs)
@@ -92,7 +95,7 @@
     // A request that would have no time left after waiting is better tried elsewhere.
     private fun admissionOf(request: AttemptRequest, occupancy: Occupancy): AdmissionRequest {
         val remainingMs = request.deadline.remainingMs(monotonicMs())
-        val workMs = expectedWorkMs(request)
+        val workMs = workTimes.knownMs(request.kind)?.let { completionMs(it, admission.load.slownessPercent) } ?: 0.0
         val patienceMs = if (workMs > 0) remainingMs - (workMs * LEAST_WORK_SHARE).toLong() else remainingMs / 2
         return AdmissionRequest(minOf(patienceMs, request.patienceMs), occupancy, request.rank, workMs)
     }
@@ -196,6 +199,7 @@
             return AttemptResult.NotRun(verdict.reason, admission.load, verdict.final)
         }
         val latencyMs = run.elapsedMs()
+        if (head.status < FIRST_ERROR) workTimes.observed(run.request.kind, latencyMs)
         val completion = if (head.status >= FIRST_SERVER_ERROR) Completion.Failed else Completion.Answered(latencyMs)
         val body = AnswerBody(result.body, result.abort) { ending -> run.end(ending.completion(completion), ending.lost) }
         return AttemptResult.Answered(head, body, admission.load)
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/CallerConnection.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/CallerConnection.kt
@@ -1,7 +1,6 @@
 package org.endivestep.ingress
 
 import io.netty.buffer.ByteBufUtil
-import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.HttpContent
@@ -11,7 +10,6 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import org.endivestep.document.CallerLimits
-import java.net.InetSocketAddress
 import java.util.concurrent.Executor
 import java.util.concurrent.RejectedExecutionException
 
@@ -57,17 +55,11 @@
             else -> {
                 if (HttpUtil.is100ContinueExpected(request)) context.writeAndFlush(continueResponse())
                 val stated = HttpUtil.getContentLength(request, -1L)
-                receiving = ReceivedRequest(request, stated, limits().bodyBytes, isFromOwnVm(context.channel()))
+                receiving = ReceivedRequest(request, stated, limits().bodyBytes)
             }
         }
     }
 
-    private fun isFromOwnVm(channel: Channel): Boolean {
-        val remote = channel.remoteAddress() as? InetSocketAddress
-        val local = channel.localAddress() as? InetSocketAddress
-        return remote != null && remote.address == local?.address
-    }
-
     private fun takeContent(context: ChannelHandlerContext, content: HttpContent) {
         val request = receiving ?: return
         if (!content.decoderResult().isSuccess) {
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/CallerRequest.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/CallerRequest.kt
@@ -11,8 +11,6 @@
     val headers: List<HeaderField>,
     val body: RequestBody,
     val arrivedMs: Long,
-    /** Whether a process of this VM sent it: the worker, while it runs another request. */
-    val fromOwnVm: Boolean = false,
 ) {
     val path: String get() = target.substringBefore('?')
 
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/ReceivedRequest.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/ReceivedRequest.kt
@@ -11,12 +11,7 @@
 internal const val MAX_COLLECTED_BYTES = 524_288
 
 /** A request whose body is still being received. Called by the thread of its connection. */
-internal class ReceivedRequest(
-    private val head: HttpRequest,
-    private val length: Long,
-    private val maxBytes: Long,
-    private val fromOwnVm: Boolean,
-) {
+internal class ReceivedRequest(private val head: HttpRequest, private val length: Long, private val maxBytes: Long) {
     enum class Step { INCOMPLETE, START, TOO_LONG }
 
     private val arrivedMs = monotonicMs()
@@ -59,6 +54,6 @@
     fun toRequest(): CallerRequest {
         val body = stream?.let { RequestBody.Streamed(UnreadStream(it), length) } ?: RequestBody.Inline(collected.toByteArray())
         val headers = head.headers().map { HeaderField(it.key, it.value) }
-        return CallerRequest(head.method().name(), head.uri(), headers, body, arrivedMs, fromOwnVm)
+        return CallerRequest(head.method().name(), head.uri(), headers, body, arrivedMs)
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/RequestLog.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/RequestLog.kt
@@ -51,11 +51,11 @@
             if (decision.reason.isNotEmpty()) put("reason", decision.reason)
             put("route", decision.rule?.name?.text ?: "none for ${request.header("Host")}${request.target}")
             decision.call?.let { put("service", it.service.name.text) }
-            put("fromOwnVm", request.fromOwnVm)
             put("elapsedMs", elapsedMs)
             put("deadlineMs", request.header(headers.deadlineMs).orEmpty())
             decision.rule?.let { put("objectiveMs", it.objectiveMs) }
             decision.rule?.let { put("timeoutMs", it.timeoutMs) }
+            decision.rule?.let { put("priority", it.priority) }
             decision.returnMs?.let { put("returnMs", it) }
             put("configuration", configurationVersion())
             decision.call?.let { put("attempts", it.trace) }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
@@ -108,7 +108,7 @@
             idempotencyKey = null,
             fingerprint = fingerprint,
             maxAttempts = rule.maxAttempts,
-            rank = RequestRank(rule.priority, (firstMs ?: request.arrivedMs) + rule.objectiveMs, request.fromOwnVm, firstMs != null),
+            rank = RequestRank(rule.priority, (firstMs ?: request.arrivedMs) + rule.objectiveMs, repeated = firstMs != null),
         )
     }
 
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/LoadNotices.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/LoadNotices.kt
@@ -2,11 +2,8 @@
 
 import com.google.protobuf.InvalidProtocolBufferException
 import io.github.oshai.kotlinlogging.KotlinLogging
-import org.endivestep.choice.isWorthTelling
-import org.endivestep.identity.DataCentreName
+import org.endivestep.exchange.monotonicMs
 import org.endivestep.identity.VmName
-import org.endivestep.membership.MemberInfo
-import org.endivestep.membership.MemberState
 import org.endivestep.outcome.Load
 import org.endivestep.protocol.v1.LoadNotice
 import org.endivestep.ring.Duty
@@ -20,17 +17,14 @@
 
 private val logger = KotlinLogging.logger {}
 
-/** Who is told of the load of this daemon's worker. */
-internal class LoadAudience(val vm: VmName, val dataCentre: DataCentreName, val members: () -> List<MemberInfo>)
-
 /**
- * Tells other daemons by datagram how loaded the worker here is, and hears it from them.
+ * Tells other daemons by datagram how loaded the worker of [vm] here is, and hears it from them.
  *
- * Those in the same data centre are told of small changes; the others, whose bytes cost more, only of
- * large ones. A notice that is lost is made up for by the next one and by the load on answers.
+ * A notice that is lost is made up for by the next one and by the load on answers.
  */
 internal class LoadNotices(
     private val socket: DatagramSocket,
+    private val vm: VmName,
     private val audience: LoadAudience,
     private val load: () -> Load,
     private val onNotice: (VmName, Load) -> Unit,
@@ -39,8 +33,6 @@
     private val duties = mutableListOf<Duty>()
     private val sequences = HashMap<String, Long>()
     private var sequence = System.currentTimeMillis() * SEQUENCES_A_MILLISECOND
-    private var toldNear = Load(0, 0)
-    private var toldFar = Load(0, 0)
 
     fun start() {
         duties += Duty.start("load-send", ::send)
@@ -54,22 +46,16 @@
 
     /** Notes that the load may have changed; does not block. */
     fun changed() {
-        changes.offer(Unit)
+        if (audience.isWorthTelling(load())) changes.offer(Unit)
     }
 
     private fun send() {
         if (changes.poll(IDLE_MS) == null) return
         val current = load()
-        val near = isWorthTelling(toldNear, current, FINE_SHARE)
-        val far = isWorthTelling(toldFar, current, COARSE_SHARE)
-        if (!near && !far) return
-        if (near) toldNear = current
-        if (far) toldFar = current
-        val notice = LoadNotice.newBuilder().setVm(audience.vm.text).setLoad(current.toWire()).setSequence(++sequence).build().toByteArray()
-        audience.members().filter { it.vm != audience.vm && it.state == MemberState.ALIVE }.forEach { member ->
-            val isNear = member.dataCentre == audience.dataCentre
-            if (if (isNear) near else far) send(notice, Address(member.inner.host, member.inner.port + PORT_OFFSET))
-        }
+        val told = audience.of(current, monotonicMs())
+        if (told.isEmpty()) return
+        val notice = LoadNotice.newBuilder().setVm(vm.text).setLoad(current.toWire()).setSequence(++sequence).build().toByteArray()
+        told.forEach { send(notice, Address(it.inner.host, it.inner.port + PORT_OFFSET)) }
         Thread.sleep(PAUSE_MS)
     }
 
@@ -112,7 +98,5 @@
         private const val IDLE_MS = 10_000L
         private const val PAUSE_MS = 15L
         private const val MAX_BYTES = 512
-        private const val FINE_SHARE = 0.1
-        private const val COARSE_SHARE = 0.35
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/PeerChannels.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/PeerChannels.kt
@@ -10,6 +10,7 @@
 import jdk.net.ExtendedSocketOptions
 import org.endivestep.identity.DaemonIncarnation
 import org.endivestep.membership.generation
+import org.endivestep.membership.runName
 import org.endivestep.settings.Address
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
@@ -34,7 +35,7 @@
         fun next(run: DaemonIncarnation): ManagedChannel {
             val known = this.run
             if (known == null || run.generation > known.generation) this.run = run
-            if (known != null && this.run != known) reopen()
+            if (known != null && this.run?.runName != known.runName) reopen()
             return next()
         }
 
--- a/endivestep/src/test/kotlin/org/endivestep/admission/WaitingOrderTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/admission/WaitingOrderTest.kt
@@ -10,8 +10,13 @@
 private val settings =
     LimitSettings(cold = 2, max = 2, idleColdAfterMs = 0, latencyTolerance = 100.0, queueLength = 50, queueWaitMs = 5_000)
 
-private fun place(priority: Int = 1, late: Boolean = false, nested: Boolean = false, repeated: Boolean = false) =
-    WaitingPlace(RequestRank(priority = priority, nested = nested, repeated = repeated), late)
+private fun place(
+    priority: Int = 1,
+    late: Boolean = false,
+    nested: Boolean = false,
+    repeated: Boolean = false,
+    objectiveAtMs: Long = 500,
+) = WaitingPlace(RequestRank(priority, objectiveAtMs, nested, repeated), late)
 
 class WaitingOrderTest :
     FunSpec({
@@ -21,6 +26,7 @@
                 Case("a call of a worker before a higher priority", place(priority = 2, nested = true), place(priority = 0)),
                 Case("a higher priority before one that is in time", place(priority = 0, late = true), place(priority = 1)),
                 Case("in time before late", place(), place(late = true)),
+                Case("a short objective before a long one", place(objectiveAtMs = 150), place(objectiveAtMs = 600)),
                 Case("refused before, before a first try", place(repeated = true), place()),
             ).forEach { case ->
                 withClue(case.name) {
--- a/endivestep/src/test/kotlin/org/endivestep/choice/CompletionEstimatesTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/choice/CompletionEstimatesTest.kt
@@ -94,6 +94,20 @@
             }
         }
 
+        test("a full worker of which nothing is heard any more is tried again") {
+            val here = Locality(DataCentreName("near"), "region")
+            val near = Candidate(VmName("near"), DataCentreName("near"), "region")
+            val far = Candidate(VmName("far"), DataCentreName("far"), "region")
+            var nowMs = 0L
+            val estimates = CompletionEstimates(KindProfiles().also { it.observed(read, USUAL_MS) }) { nowMs }
+            estimates.report(near.vm, Load(14, 14, 10, 100))
+            estimates.report(far.vm, Load(0, 14, 0, 100))
+            val choose = { earliestCompletion(here, estimates)(ChoiceSubject(read), listOf(near, far)).vm.text }
+            choose() shouldBe "far"
+            nowMs = 2_500
+            choose() shouldBe "near"
+        }
+
         test("work that begins on a slow VM takes longer, but less than if it stayed slow") {
             val slow = completionMs(USUAL_MS, 400)
             slow shouldBeGreaterThan completionMs(USUAL_MS, 100)
--- a/endivestep/src/test/kotlin/org/endivestep/protocol/PeerRestartTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/protocol/PeerRestartTest.kt
@@ -26,7 +26,8 @@
 
 private const val SECRET = "a secret of the tests"
 private val firstRun = DaemonIncarnation("1-run")
-private val secondRun = DaemonIncarnation("2-run")
+private val firstRunRestated = DaemonIncarnation("7-run")
+private val secondRun = DaemonIncarnation("2-other-run")
 
 /** A client, and daemons that are started at a port one after the other. */
 private class Restarts : Closeable {
@@ -75,6 +76,25 @@
             }
         }
 
+        test("a run that had to raise its generation keeps the calls it has") {
+            Restarts().use { restarts ->
+                val running = CountDownLatch(1)
+                val release = CountDownLatch(1)
+                val slow =
+                    EgressBench { local, request ->
+                        running.countDown()
+                        release.await(20, TimeUnit.SECONDS)
+                        answering()(local, request)
+                    }
+                val address = Address("127.0.0.1", restarts.start(0, slow, firstRun))
+                val kept = restarts.threads.submit(Callable { restarts.client.attempt(Peer(address, firstRun), sampleAttempt("kept")) })
+                running.await(5, TimeUnit.SECONDS) shouldBe true
+                restarts.client.attempt(Peer(address, firstRunRestated), sampleAttempt("after"))
+                release.countDown()
+                kept.get(9, TimeUnit.SECONDS).shouldBeInstanceOf<AttemptResult.Answered>()
+            }
+        }
+
         test("a call to a run that has ended without a sign ends when the next run is known") {
             Restarts().use { restarts ->
                 val running = CountDownLatch(1)
