Turn late requests away while others can still be answered in time, and start without searching for a log configuration

Late requests: with the line by lateness those that became late were held until their patience ended, 220 ms on average at a third too much load in WaitingLineTest (red: the bound is an eighth of the objective), and then refused. They are now refused as soon as they are late and others that are not go before them, and the wait that is foreseen for a request has the same margin as its work.

--- a/endivestep/src/main/kotlin/org/endivestep/Main.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/Main.kt
@@ -1,9 +1,11 @@
 package org.endivestep
 
 import org.endivestep.commands.runCommandLine
+import org.endivestep.logging.LogProvider
 import kotlin.system.exitProcess
 
 /** Runs the command line and exits with its code. */
 public fun main(arguments: Array<String>) {
+    LogProvider.install()
     exitProcess(runCommandLine(arguments).code)
 }
--- a/endivestep/src/main/kotlin/org/endivestep/admission/AdmissionQueue.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/admission/AdmissionQueue.kt
@@ -99,7 +99,8 @@
             val waiter = Waiter(request, lock.newCondition())
             val longestMs = minOf(request.patienceMs, settings.queueWaitMs)
             waiter.expectWait(expectedWaitMs(waiter, nowMs), nowMs)
-            if (longestMs <= 0 || waiting.size >= settings.queueLength || expectedWaitMs(waiter, nowMs) > longestMs) {
+            val isFull = longestMs <= 0 || waiting.size >= settings.queueLength
+            if (isFull || waiting.turnsAway(waiter, nowMs) || expectedWaitMs(waiter, nowMs) > longestMs) {
                 return Admission.Refused(NotRunReason.OVERLOADED)
             }
             return await(waiter, nowMs + longestMs)
@@ -129,8 +130,8 @@
         try {
             while (waiter.admission == null) {
                 val nowMs = clockMs()
-                if (untilMs <= nowMs) break
-                waiter.admitted.await(minOf(untilMs - nowMs, paceMs(nowMs)), TimeUnit.MILLISECONDS)
+                if (untilMs <= nowMs || waiting.turnsAway(waiter, nowMs)) break
+                waiter.admitted.await(minOf(untilMs - nowMs, lateMs(waiter, nowMs), paceMs(nowMs)), TimeUnit.MILLISECONDS)
                 if (waiter.admission == null) admitWaiting()
             }
             return waiter.admission ?: Admission.Refused(NotRunReason.QUEUE_TIMEOUT)
@@ -142,6 +143,9 @@
         }
     }
 
+    // A request is looked at again when it becomes late.
+    private fun lateMs(waiter: Waiter, nowMs: Long): Long = (waiter.becomesLateMs + 1 - nowMs).takeIf { it > 0 } ?: Long.MAX_VALUE
+
     // A request that only the pace holds back is admitted when the pace allows it, not at a release.
     private fun paceMs(nowMs: Long): Long = pace.delayMs(nowMs).takeIf { it > 0 } ?: Long.MAX_VALUE
 
--- a/endivestep/src/main/kotlin/org/endivestep/admission/WaitingLine.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/admission/WaitingLine.kt
@@ -7,6 +7,9 @@
  * take, 0 when it is not known.
  */
 internal open class WaitingRequest(val rank: RequestRank, val workMs: Double) {
+    /** When the request becomes late if its work has not begun. */
+    val becomesLateMs: Long get() = (rank.objectiveAtMs - workMs * LONG_WORK).toLong()
+
     /** Whether the line was already too long for an answer in time when the request came. */
     var cameTooLate = false
         private set
@@ -16,7 +19,7 @@
 
     /** Notes that the request will begin only after [waitMs]. */
     fun expectWait(waitMs: Double, nowMs: Long) {
-        cameTooLate = endsLate(nowMs + waitMs)
+        cameTooLate = endsLate(nowMs + waitMs * LONG_WORK)
     }
 
     private fun endsLate(beginMs: Double): Boolean = beginMs + workMs * LONG_WORK > rank.objectiveAtMs
@@ -47,7 +50,8 @@
  *
  * Under more load than the worker bears, a line in the order of arrival grows until every request in
  * it is answered late. So a request for which the line is too long when it comes stands behind
- * those that are still answered in time, and one that has become late meanwhile steps back.
+ * those that are still answered in time, and one that has become late meanwhile steps back. A late
+ * request is turned away while such others wait, since it would probably be held until it gives up.
  *
  * A pure state machine: times are in ms. Not thread-safe.
  */
@@ -65,6 +69,13 @@
         waiting.remove(request)
     }
 
+    /** Whether [request] is late, and others that are not go before it. */
+    fun turnsAway(request: W, nowMs: Long): Boolean {
+        if (!request.isLate(nowMs)) return false
+        val place = request.place(nowMs)
+        return waiting.any { !it.isLate(nowMs) && waitingOrder.compare(it.place(nowMs), place) < 0 }
+    }
+
     /** Returns the request that is to begin next, or null when none waits. */
     fun first(nowMs: Long): W? = waiting.minWithOrNull(compareBy(waitingOrder) { it.place(nowMs) })
 
--- /dev/null
+++ b/endivestep/src/main/kotlin/org/endivestep/logging/LogProvider.kt
@@ -0,0 +1,48 @@
+package org.endivestep.logging
+
+import ch.qos.logback.classic.LoggerContext
+import ch.qos.logback.classic.util.LogbackMDCAdapter
+import org.slf4j.ILoggerFactory
+import org.slf4j.IMarkerFactory
+import org.slf4j.helpers.BasicMarkerFactory
+import org.slf4j.spi.MDCAdapter
+import org.slf4j.spi.SLF4JServiceProvider
+
+/**
+ * Gives SLF4J a Logback context that is already configured.
+ *
+ * Logback's own provider looks for a configuration first and reports on that, which takes a sixth of a
+ * daemon's start. SLF4J makes this class by its name.
+ */
+class LogProvider : SLF4JServiceProvider {
+    private val context = LoggerContext()
+    private val markers = BasicMarkerFactory()
+    private val diagnosticContext = LogbackMDCAdapter()
+
+    override fun getLoggerFactory(): ILoggerFactory = context
+
+    override fun getMarkerFactory(): IMarkerFactory = markers
+
+    override fun getMDCAdapter(): MDCAdapter = diagnosticContext
+
+    override fun getRequestedApiVersion(): String = API_VERSION
+
+    override fun initialize() {
+        context.name = "endivestep"
+        context.mdcAdapter = diagnosticContext
+        LogConfiguration().configure(context)
+        context.start()
+    }
+
+    internal companion object {
+        private const val API_VERSION = "2.0.99"
+        private const val PROVIDER_PROPERTY = "slf4j.provider"
+        private const val VERBOSITY_PROPERTY = "slf4j.internal.verbosity"
+
+        /** Makes SLF4J use this class. To be called before the first logger is made. */
+        fun install() {
+            System.setProperty(PROVIDER_PROPERTY, LogProvider::class.java.name)
+            System.setProperty(VERBOSITY_PROPERTY, "WARN")
+        }
+    }
+}
--- a/endivestep/src/test/kotlin/org/endivestep/admission/WaitingLineTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/admission/WaitingLineTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.doubles.shouldBeGreaterThan
+import io.kotest.matchers.doubles.shouldBeLessThan
 import org.endivestep.exchange.RequestRank
 import java.util.SplittableRandom
 
@@ -25,6 +26,16 @@
         private set
     var inTime = 0
         private set
+    var refused = 0
+        private set
+    var heldInVainMs = 0L
+        private set
+
+    /** Returns how long a request that was refused in the end had been held on average, in ms. */
+    fun meanHeldInVainMs(): Double {
+        for (nowMs in 0 until SPAN_MS) step(nowMs)
+        return heldInVainMs.toDouble() / refused.coerceAtLeast(1)
+    }
 
     /** Returns the answers in time as a share of what the worker can do at most. */
     fun shareOfCapacity(): Double {
@@ -36,7 +47,7 @@
     private fun step(nowMs: Long) {
         if (nowMs % 300 == 0L && random.nextDouble() < slowShare) slowUntilMs = nowMs + 300
         runningUntilMs.removeAll { it <= nowMs }
-        waiting.filter { nowMs - it.arrivedMs >= PATIENCE_MS }.forEach(::forget)
+        waiting.filter { nowMs - it.arrivedMs >= PATIENCE_MS || line.turnsAway(it, nowMs) }.forEach { giveUp(it, nowMs) }
         if (random.nextDouble() < loadFactor * PLACES / WORK_MS) arrive(nowMs)
         while (runningUntilMs.size < PLACES) begin(line.first(nowMs) ?: break, nowMs)
     }
@@ -46,23 +57,29 @@
         val job = Job(nowMs)
         val expectedMs = { if (runningUntilMs.size < PLACES) 0.0 else (line.workAheadMs(job, nowMs) + WORK_MS / 2) / PLACES }
         job.expectWait(expectedMs(), nowMs)
-        if (expectedMs() > PATIENCE_MS) return
+        if (expectedMs() > PATIENCE_MS || line.turnsAway(job, nowMs)) {
+            refused++
+            return
+        }
         line.add(job)
         waiting += job
     }
 
+    private fun giveUp(job: Job, nowMs: Long) {
+        line.remove(job)
+        waiting.remove(job)
+        refused++
+        heldInVainMs += nowMs - job.arrivedMs
+    }
+
     private fun begin(job: Job, nowMs: Long) {
-        forget(job)
+        line.remove(job)
+        waiting.remove(job)
         val factor = (0.7 + random.nextDouble() * 0.6) * if (nowMs < slowUntilMs) 4.0 else 1.0
         val endMs = nowMs + (WORK_MS * factor).toLong()
         runningUntilMs += endMs
         if (endMs <= job.arrivedMs + OBJECTIVE_MS) inTime++
     }
-
-    private fun forget(job: Job) {
-        line.remove(job)
-        waiting.remove(job)
-    }
 }
 
 class WaitingLineTest :
@@ -80,4 +97,12 @@
                 }
             }
         }
+
+        test("a long time of more load than the worker bears: who is refused hears it soon") {
+            listOf(1.3, 2.0).forEach { loadFactor ->
+                withClue("load factor $loadFactor") {
+                    LineRun(loadFactor, slowShare = 0.0, seed = 20261204).meanHeldInVainMs() shouldBeLessThan OBJECTIVE_MS / 8.0
+                }
+            }
+        }
     })
