--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -14,9 +14,6 @@
 import org.endivestep.configuration.offerAndLog
 import org.endivestep.document.CallerLimits
 import org.endivestep.document.Document
-import org.endivestep.document.LimitSettings
-import org.endivestep.document.QuarantineSettings
-import org.endivestep.document.RetrySettings
 import org.endivestep.egress.AttemptRegistry
 import org.endivestep.egress.CrashWatch
 import org.endivestep.egress.Egress
@@ -49,7 +46,6 @@
 import org.endivestep.metrics.DaemonMetrics
 import org.endivestep.metrics.OutcomeCounters
 import org.endivestep.outcome.AttemptResult
-import org.endivestep.platform.DocumentDefaults
 import org.endivestep.platform.PlatformSettings
 import org.endivestep.platform.healthCall
 import org.endivestep.platform.heartbeatEndpoint
@@ -87,22 +83,6 @@
 private const val CONNECT_TIMEOUT_MS = 500
 private const val HEALTH_TIMEOUT_MS = 500L
 private const val EVENT_LOOP_THREADS = 2
-private const val QUEUE_LENGTH = 64
-
-// Less than the time after which another daemon takes an attempt without a first frame for lost.
-private const val QUEUE_WAIT_MS = 800L
-
-// Before the first heartbeat one request at a time; the worker's places replace the limit then.
-private val limitsBeforeHeartbeat =
-    LimitSettings(
-        cold = 1,
-        max = 1,
-        idleColdAfterMs = 0,
-        latencyTolerance = Double.MAX_VALUE,
-        queueLength = QUEUE_LENGTH,
-        queueWaitMs = QUEUE_WAIT_MS,
-    )
-private val quarantineSettings = QuarantineSettings(deaths = 2, durationMs = 60_000)
 
 /** A daemon on the users' platform: the product's parts, joined to the platform's messages and store. */
 internal class PlatformDaemon(private val settings: PlatformSettings) {
@@ -117,7 +97,7 @@
     private val store = platformStore(settings.store, connections, STORE_TIMEOUT_MS)
     private val overrides: Overrides = Overrides(System::currentTimeMillis) { follower.overridden() }
     private val adoption: ConfigurationAdoption =
-        ConfigurationAdoption({ name, text -> readOperatorDocument(name, text, documentDefaults()) }) { follower.adopted(it) }
+        ConfigurationAdoption({ name, text -> readOperatorDocument(name, text, documentDefaults(settings)) }) { follower.adopted(it) }
     private val profiles = KindProfiles()
     private val workers = WorkerRegistry()
     private val admission = AdmissionQueue(limitsBeforeHeartbeat, ::monotonicMs)
@@ -224,38 +204,15 @@
         logger.info { "daemon ${settings.vm.text} serves callers at ${settings.callers}" }
     }
 
-    /**
-     * Stops without cutting a request in flight: tells the platform and peers, serves what still
-     * comes until they have taken notice, and waits for what is in flight. Returns whether all ended.
-     */
+    /** Stops without cutting a request in flight; returns whether all ended. */
     fun stop(): Boolean {
-        val startMs = monotonicMs()
         stopping = true
         logger.info { "daemon ${settings.vm.text} is leaving" }
-        gossip.stateSelf { it.copy(worker = it.worker?.copy(serving = false)) }
-        Thread.sleep(NOTICE_MS)
-        val untilMs = startMs + settings.bounds.stopMs - STOP_MARGIN_MS
-        ingress.endAt(untilMs)
-        callers.closeAfterAnswers()
-        egress.stop()
-        awaitIdle(untilMs)
-        // A connection that is accepted after the last look would be cut by the end of the process.
-        callers.stopListening(LISTENER_CLOSE_MS)
-        val drained = awaitIdle(untilMs + LISTENER_CLOSE_MS)
-        gossip.stateSelf { it.copy(state = MemberState.LEFT) }
-        Thread.sleep(LEFT_SPREAD_MS)
+        val drained = GracefulStop(gossip, ingress, egress, callers, inFlight).run(settings.bounds.stopMs)
         logger.info { "daemon ${settings.vm.text} has left; drained: $drained" }
         return drained
     }
 
-    private fun awaitIdle(untilMs: Long): Boolean {
-        while (monotonicMs() < untilMs) {
-            if (ingress.activeCount == 0 && inFlight.count == 0 && callers.connectionCount == 0) return true
-            Thread.sleep(IDLE_CHECK_MS)
-        }
-        return ingress.activeCount == 0 && inFlight.count == 0
-    }
-
     /** Takes in that the settings file has changed; what this daemon has bound cannot change while it runs. */
     fun reload(changed: PlatformSettings) {
         if (changed.copy(bounds = settings.bounds) != settings) {
@@ -270,13 +227,6 @@
 
     private fun callerLimits() = document()?.callers ?: defaultCallerLimits
 
-    private fun documentDefaults() =
-        DocumentDefaults(
-            settings.dataCentres,
-            limitsBeforeHeartbeat,
-            RetrySettings(settings.bounds.retryRatio / 2, RETRY_RESERVE, MAX_ATTEMPTS),
-        )
-
     private fun routesOf(service: ServiceName): List<Route> {
         val current = document() ?: return emptyList()
         return routes(gossip.members, current, service, settings.vm)
@@ -329,14 +279,6 @@
     private companion object {
         val defaultCallerLimits = CallerLimits()
 
-        // The platform takes a daemon out after two questions, which it asks every second.
-        const val NOTICE_MS = 2_400L
-        const val STOP_MARGIN_MS = 600L
-        const val LEFT_SPREAD_MS = 100L
-        const val LISTENER_CLOSE_MS = 200L
-        const val IDLE_CHECK_MS = 20L
-        const val RETRY_RESERVE = 2
-        const val MAX_ATTEMPTS = 3
         const val MOST_HANDOVERS = 3
         const val HANDOVER_PATIENCE_MS = 60L
     }
