--- a/endivestep/src/main/kotlin/org/endivestep/logging/LineAppender.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/logging/LineAppender.kt
@@ -21,6 +21,7 @@
 
     override fun start() {
         super.start()
+        // Not a duty of the daemon: those log when a step fails.
         val writer = Thread(::writeLines, "log")
         writer.isDaemon = true
         writer.start()
