--- a/endivestep/src/main/kotlin/org/endivestep/admission/AdmissionQueue.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/admission/AdmissionQueue.kt
@@ -37,7 +37,7 @@
 /**
  * Admits requests within an [AdmissionLimit] and lets a bounded number wait for a bounded time.
  *
- * Requests that wait are admitted in the order of [WaitingLine]. Thread-safe; [admit] blocks its thread while it waits.
+ * Requests that wait are admitted in the order of [WaitingQueue]. Thread-safe; [admit] blocks its thread while it waits.
  */
 internal class AdmissionQueue(private var settings: LimitSettings, private val clockMs: () -> Long) {
     private class Waiter(val request: AdmissionRequest, val admitted: Condition) : WaitingRequest(request.rank, request.workMs) {
@@ -46,7 +46,7 @@
 
     private val limit = AdmissionLimit(settings)
     private val pace = ColdPace()
-    private val waiting = WaitingLine<Waiter>()
+    private val waiting = WaitingQueue<Waiter>()
     private var runningAlone = false
     private var closedFor: NotRunReason? = null
     private var slownessPercent = 0
@@ -100,7 +100,7 @@
             val longestMs = minOf(request.patienceMs, settings.queueWaitMs)
             waiter.expectWait(expectedWaitMs(waiter, nowMs), nowMs)
             val isFull = longestMs <= 0 || waiting.size >= settings.queueLength
-            if (isFull || waiting.turnsAway(waiter, nowMs) || expectedWaitMs(waiter, nowMs) > longestMs) {
+            if (isFull || waiting.refuses(waiter, nowMs) || expectedWaitMs(waiter, nowMs) > longestMs) {
                 return Admission.Refused(NotRunReason.OVERLOADED)
             }
             return await(waiter, nowMs + longestMs)
@@ -130,7 +130,7 @@
         try {
             while (waiter.admission == null) {
                 val nowMs = clockMs()
-                if (untilMs <= nowMs || waiting.turnsAway(waiter, nowMs)) break
+                if (untilMs <= nowMs || waiting.refuses(waiter, nowMs)) break
                 waiter.admitted.await(minOf(untilMs - nowMs, lateMs(waiter, nowMs), paceMs(nowMs)), TimeUnit.MILLISECONDS)
                 if (waiter.admission == null) admitWaiting()
             }
--- a/endivestep/src/main/kotlin/org/endivestep/admission/WaitingLine.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/admission/WaitingQueue.kt
@@ -10,16 +10,16 @@
     /** When the request becomes late if its work has not begun. */
     val becomesLateMs: Long get() = (rank.objectiveAtMs - workMs * LONG_WORK).toLong()
 
-    /** Whether the line was already too long for an answer in time when the request came. */
-    var cameTooLate = false
+    /** Whether the queue was already too long for an answer in time when the request arrived. */
+    var arrivedTooLate = false
         private set
 
     /** Whether the request will probably not be answered in time when its work begins at [nowMs]. */
-    fun isLate(nowMs: Long): Boolean = cameTooLate || endsLate(nowMs.toDouble())
+    fun isLate(nowMs: Long): Boolean = arrivedTooLate || endsLate(nowMs.toDouble())
 
     /** Notes that the request will begin only after [waitMs]. */
     fun expectWait(waitMs: Double, nowMs: Long) {
-        cameTooLate = endsLate(nowMs + waitMs * LONG_WORK)
+        arrivedTooLate = endsLate(nowMs + waitMs * LONG_WORK)
     }
 
     private fun endsLate(beginMs: Double): Boolean = beginMs + workMs * LONG_WORK > rank.objectiveAtMs
@@ -46,16 +46,16 @@
         .thenBy { it.rank.objectiveAtMs }
 
 /**
- * Requests that wait for one worker, in the order of [waitingOrder], equal ones as they came.
+ * Requests that wait for one worker, in the order of [waitingOrder], equal ones in the order of arrival.
  *
- * Under more load than the worker bears, a line in the order of arrival grows until every request in
- * it is answered late. So a request for which the line is too long when it comes stands behind
- * those that are still answered in time, and one that has become late meanwhile steps back. A late
- * request is turned away while such others wait, since it would probably be held until it gives up.
+ * In an overload, a queue in the order of arrival grows until every request in it is answered late. So a
+ * request that finds the queue too long is ordered behind those that will be answered in time, and so
+ * is one that becomes late while it waits. A late request is refused while such others wait, because it
+ * would probably be held until its time-out.
  *
  * A pure state machine: times are in ms. Not thread-safe.
  */
-internal class WaitingLine<W : WaitingRequest> {
+internal class WaitingQueue<W : WaitingRequest> {
     private val waiting = ArrayList<W>()
 
     val size: Int get() = waiting.size
@@ -69,8 +69,8 @@
         waiting.remove(request)
     }
 
-    /** Whether [request] is late, and others that are not go before it. */
-    fun turnsAway(request: W, nowMs: Long): Boolean {
+    /** Whether [request] is late while others that are not are ordered before it. */
+    fun refuses(request: W, nowMs: Long): Boolean {
         if (!request.isLate(nowMs)) return false
         val place = request.place(nowMs)
         return waiting.any { !it.isLate(nowMs) && waitingOrder.compare(it.place(nowMs), place) < 0 }
@@ -79,7 +79,7 @@
     /** Returns the request that is to begin next, or null when none waits. */
     fun first(nowMs: Long): W? = waiting.minWithOrNull(compareBy(waitingOrder) { it.place(nowMs) })
 
-    /** Returns the sum of the work in ms that goes before [request] if it comes now. */
+    /** Returns the sum of the work in ms that is ordered before [request]. */
     fun workAheadMs(request: W, nowMs: Long): Double {
         val place = request.place(nowMs)
         return waiting.filter { waitingOrder.compare(it.place(nowMs), place) <= 0 }.sumOf { it.workMs }
--- a/endivestep/src/main/kotlin/org/endivestep/membership/DaemonDirectory.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/membership/DaemonDirectory.kt
@@ -15,7 +15,7 @@
 
 /**
  * Finds other daemons through the store: each keeps its address there in an object of its own, and
- * one that starts reads all of them and introduces itself to those it does not know yet. After that
+ * one that starts reads all of them and announces itself to those it does not know yet. After that
  * gossip keeps the members up to date, and the store is read rarely.
  */
 internal class DaemonDirectory(
@@ -62,9 +62,9 @@
         if (listed is ListedCollection.Items) {
             readings++
             val strangers = strangers(listed.items).shuffled(java.util.Random(random.nextLong()))
-            gossip.greet(strangers.take(MOST_GREETED))
+            gossip.announceTo(strangers.take(MAX_ANNOUNCED))
             // The rest of a large fleet is heard of from one of them.
-            if (strangers.size > MOST_GREETED) exchange(strangers.first())
+            if (strangers.size > MAX_ANNOUNCED) exchange(strangers.first())
         } else {
             logger.warn { "cannot read the addresses of other daemons: $listed" }
             Thread.sleep(FIRST_PAUSE_MS)
@@ -87,6 +87,6 @@
         const val FIRST_PAUSE_MS = 300L
         const val MAX_PAUSE_MS = 3_000L
         const val RARELY_MS = 120_000L
-        const val MOST_GREETED = 64
+        const val MAX_ANNOUNCED = 64
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/membership/Gossip.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/membership/Gossip.kt
@@ -34,7 +34,7 @@
 
         class MergeAll(val infos: Collection<MemberInfo>) : Event
 
-        class Greet(val addresses: List<Address>) : Event
+        class AnnounceTo(val addresses: List<Address>) : Event
     }
 
     private val ring = Ring<Event>(RING_CAPACITY)
@@ -71,8 +71,8 @@
 
     fun mergeAll(infos: Collection<MemberInfo>) = offer(Event.MergeAll(infos))
 
-    /** Introduces this daemon to those at [addresses]. */
-    fun greet(addresses: List<Address>) = offer(Event.Greet(addresses))
+    /** Announces this daemon to those at [addresses]. */
+    fun announceTo(addresses: List<Address>) = offer(Event.AnnounceTo(addresses))
 
     fun stop() {
         duties.forEach { it.stop() }
@@ -109,7 +109,7 @@
             is Event.StateSelf -> protocol.stateSelf(event.change)
             is Event.Tell -> protocol.tell(event.entries)
             is Event.MergeAll -> protocol.mergeAll(event.infos, nowMs)
-            is Event.Greet -> protocol.greet(event.addresses)
+            is Event.AnnounceTo -> protocol.announceTo(event.addresses)
             is Event.Packet -> handlePacket(event, nowMs)
         }
 
--- a/endivestep/src/main/kotlin/org/endivestep/membership/GossipProtocol.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/membership/GossipProtocol.kt
@@ -65,7 +65,7 @@
     private var nextPeriodMs = 0L
     private var mismatches = 0
     private var nextSynchronizeMs = 0L
-    private var nextStrangerMs = 0L
+    private var nextUnknownSenderMs = 0L
 
     init {
         dissemination.add(self)
@@ -101,10 +101,10 @@
     }
 
     /**
-     * Introduces this daemon to those at [addresses], of which it knows nothing else. Each answers with
+     * Announces this daemon to those at [addresses], of which it knows nothing else. Each answers with
      * its own statement, so that daemons that start together know one another after one exchange.
      */
-    fun greet(addresses: List<Address>): List<GossipAction> =
+    fun announceTo(addresses: List<Address>): List<GossipAction> =
         addresses.map { GossipAction.Send(it, compose(GossipType.PING, nextSequence++, introduces = true)) }
 
     /** Lets time pass: probes, time-outs, suspicion, removal. */
@@ -125,7 +125,7 @@
         val news = message.members.mapNotNull { table.merge(it, nowMs) }
         news.forEach(dissemination::add)
         val isIntroduction = news.any { it.vm == message.from }
-        if (table.find(message.from) == null) actions += askStranger(source, nowMs)
+        if (table.find(message.from) == null) actions += askUnknownSender(source, nowMs)
         // A peer that still tells of an earlier state of this daemon hears of the current one.
         if (message.members.any { table.self.supersedes(it) && it.vm == table.self.vm }) dissemination.add(table.self)
         val freshSuspicions = suspicions.fresh(message.suspicions)
@@ -139,9 +139,9 @@
     }
 
     // A peer that this daemon does not know remembers an earlier run of it, and knows the other members.
-    private fun askStranger(source: Address, nowMs: Long): List<GossipAction> {
-        if (nowMs < nextStrangerMs) return emptyList()
-        nextStrangerMs = nowMs + settings.periodMs
+    private fun askUnknownSender(source: Address, nowMs: Long): List<GossipAction> {
+        if (nowMs < nextUnknownSenderMs) return emptyList()
+        nextUnknownSenderMs = nowMs + settings.periodMs
         return listOf(GossipAction.Synchronize(source))
     }
 
--- a/endivestep/src/test/kotlin/org/endivestep/admission/WaitingLineTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/admission/WaitingQueueTest.kt
@@ -14,11 +14,11 @@
 private const val SPAN_MS = 60_000L
 
 /** One worker and the requests that wait for it, in steps of 1 ms; counts answers in time. */
-private class LineRun(private val loadFactor: Double, private val slowShare: Double, seed: Long) {
+private class QueueRun(private val loadFactor: Double, private val slowShare: Double, seed: Long) {
     private class Job(val arrivedMs: Long) : WaitingRequest(RequestRank(priority = 1, objectiveAtMs = arrivedMs + OBJECTIVE_MS), WORK_MS)
 
     private val random = SplittableRandom(seed)
-    private val line = WaitingLine<Job>()
+    private val queue = WaitingQueue<Job>()
     private val waiting = mutableListOf<Job>()
     private val runningUntilMs = mutableListOf<Long>()
     private var slowUntilMs = 0L
@@ -47,33 +47,33 @@
     private fun step(nowMs: Long) {
         if (nowMs % 300 == 0L && random.nextDouble() < slowShare) slowUntilMs = nowMs + 300
         runningUntilMs.removeAll { it <= nowMs }
-        waiting.filter { nowMs - it.arrivedMs >= PATIENCE_MS || line.turnsAway(it, nowMs) }.forEach { giveUp(it, nowMs) }
+        waiting.filter { nowMs - it.arrivedMs >= PATIENCE_MS || queue.refuses(it, nowMs) }.forEach { giveUp(it, nowMs) }
         if (random.nextDouble() < loadFactor * PLACES / WORK_MS) arrive(nowMs)
-        while (runningUntilMs.size < PLACES) begin(line.first(nowMs) ?: break, nowMs)
+        while (runningUntilMs.size < PLACES) begin(queue.first(nowMs) ?: break, nowMs)
     }
 
     private fun arrive(nowMs: Long) {
         offered++
         val job = Job(nowMs)
-        val expectedMs = { if (runningUntilMs.size < PLACES) 0.0 else (line.workAheadMs(job, nowMs) + WORK_MS / 2) / PLACES }
+        val expectedMs = { if (runningUntilMs.size < PLACES) 0.0 else (queue.workAheadMs(job, nowMs) + WORK_MS / 2) / PLACES }
         job.expectWait(expectedMs(), nowMs)
-        if (expectedMs() > PATIENCE_MS || line.turnsAway(job, nowMs)) {
+        if (expectedMs() > PATIENCE_MS || queue.refuses(job, nowMs)) {
             refused++
             return
         }
-        line.add(job)
+        queue.add(job)
         waiting += job
     }
 
     private fun giveUp(job: Job, nowMs: Long) {
-        line.remove(job)
+        queue.remove(job)
         waiting.remove(job)
         refused++
         heldInVainMs += nowMs - job.arrivedMs
     }
 
     private fun begin(job: Job, nowMs: Long) {
-        line.remove(job)
+        queue.remove(job)
         waiting.remove(job)
         val factor = (0.7 + random.nextDouble() * 0.6) * if (nowMs < slowUntilMs) 4.0 else 1.0
         val endMs = nowMs + (WORK_MS * factor).toLong()
@@ -82,7 +82,7 @@
     }
 }
 
-class WaitingLineTest :
+class WaitingQueueTest :
     FunSpec({
         test("a long time of more load than the worker bears: most of its work is still answered in time") {
             class Case(val name: String, val loadFactor: Double, val slowShare: Double, val leastShare: Double)
@@ -92,7 +92,7 @@
                 Case("at the knee, four times slower for 300 ms now and then", 1.0, 0.1, 0.6),
             ).forEach { case ->
                 withClue(case.name) {
-                    LineRun(case.loadFactor, case.slowShare, seed = 20261204).shareOfCapacity() shouldBeGreaterThan
+                    QueueRun(case.loadFactor, case.slowShare, seed = 20261204).shareOfCapacity() shouldBeGreaterThan
                         case.leastShare
                 }
             }
@@ -101,7 +101,7 @@
         test("a long time of more load than the worker bears: who is refused hears it soon") {
             listOf(1.3, 2.0).forEach { loadFactor ->
                 withClue("load factor $loadFactor") {
-                    LineRun(loadFactor, slowShare = 0.0, seed = 20261204).meanHeldInVainMs() shouldBeLessThan OBJECTIVE_MS / 8.0
+                    QueueRun(loadFactor, slowShare = 0.0, seed = 20261204).meanHeldInVainMs() shouldBeLessThan OBJECTIVE_MS / 8.0
                 }
             }
         }
--- a/endivestep/src/test/kotlin/org/endivestep/egress/WorkTimesTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/egress/WorkTimesTest.kt
@@ -23,7 +23,7 @@
 
 class WorkTimesTest :
     FunSpec({
-        test("short calls that only other daemons send: one that the line leaves time for waits and is answered") {
+        test("short calls that only other daemons send: one that the queue leaves time for waits and is answered") {
             val bench = EgressBench(worker = answering())
             bench.admission.configure(limits)
             repeat(40) { bench.egress.run(attempt("learned-$it")) { }.shouldBeInstanceOf<AttemptResult.Answered>().body.close() }
--- a/endivestep/src/test/kotlin/org/endivestep/membership/GreetingTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/membership/JoinAnnouncementTest.kt
@@ -18,7 +18,7 @@
     val synchronized = mutableListOf<Address>()
     private var nowMs = 1_000L
 
-    fun greet(who: Int, others: Collection<Int>) = queue(who, nodes[who].greet(others.map(::address)))
+    fun announceTo(who: Int, others: Collection<Int>) = queue(who, nodes[who].announceTo(others.map(::address)))
 
     fun restart(who: Int) {
         nodes[who] = node(who, generation = 2)
@@ -65,22 +65,22 @@
         ) { ConfigurationVersion(1) }
 }
 
-class GreetingTest :
+class JoinAnnouncementTest :
     FunSpec({
         test("daemons that all start at once know one another after one exchange of datagrams") {
             listOf(2, 16, 40).forEach { size ->
                 withClue("$size daemons") {
                     val fleet = NewFleet(size)
-                    (0 until size).forEach { who -> fleet.greet(who, (0 until size) - who) }
+                    (0 until size).forEach { who -> fleet.announceTo(who, (0 until size) - who) }
                     fleet.settle(2) shouldBeLessThanOrEqual 2
                     (0 until size).forEach { fleet.known(it).size shouldBe size }
                 }
             }
         }
 
-        test("a greeting of a daemon that nobody knows is answered with the answerer's own statement") {
+        test("an announcement of a daemon that nobody knows is answered with the answerer's own statement") {
             val fleet = NewFleet(2)
-            fleet.greet(0, listOf(1))
+            fleet.announceTo(0, listOf(1))
             fleet.settle(2)
             fleet.known(0) shouldBe setOf("vm-0", "vm-1")
             fleet.known(1) shouldBe setOf("vm-0", "vm-1")
@@ -88,7 +88,7 @@
 
         test("a daemon that started again while the store is away asks the first peer that it hears from") {
             val fleet = NewFleet(3)
-            (0..2).forEach { who -> fleet.greet(who, (0..2) - who) }
+            (0..2).forEach { who -> fleet.announceTo(who, (0..2) - who) }
             repeat(NEWS_ENDS_AFTER_PERIODS) {
                 (0..2).forEach(fleet::tick)
                 fleet.settle(10)
