--- a/endivestep/src/main/kotlin/org/endivestep/protocol/LoadAudience.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/LoadAudience.kt
@@ -47,7 +47,7 @@
     private fun isNear(member: MemberInfo): Boolean = member.dataCentre == dataCentre
 
     private companion object {
-        const val INTEREST_MS = 1_500L
+        const val INTEREST_MS = 10_000L
         const val MOST_TOLD = 24
         const val FAR_PAUSE_MS = 150L
         const val FINE_SHARE = 0.1
