Do not take a worker of which nothing is heard for half full

What was told of a worker faded towards half of its places, which counts as 20 ms, while an idle worker in another data centre costs 12 ms for its distance. So a worker that had been left was never chosen again as long as the other one was idle.

Change: what was told fades towards nothing. CompletionEstimatesTest has the case.

--- a/endivestep/src/main/kotlin/org/endivestep/choice/CompletionEstimates.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/choice/CompletionEstimates.kt
@@ -66,12 +66,9 @@
         return avoidedMs + workMs + queueMs(load, taken, workMs)
     }
 
-    // What was told fades: a worker of which nothing is heard is probably neither full nor empty any more.
-    private fun takenNow(load: Load, ageMs: Long): Double {
-        val told = (load.inFlight + load.waiting).toDouble()
-        val usual = load.limit * USUAL_FULLNESS
-        return usual + (told - usual) * Math.pow(0.5, ageMs.toDouble() / LOAD_HALF_LIFE_MS)
-    }
+    // What was told fades, so that a worker of which nothing is heard is tried again; its refusal tells more.
+    private fun takenNow(load: Load, ageMs: Long): Double =
+        (load.inFlight + load.waiting) * Math.pow(0.5, ageMs.toDouble() / LOAD_HALF_LIFE_MS)
 
     // A worker that is fuller is also more likely to have filled up since it told its load.
     private fun queueMs(load: Load, taken: Double, workMs: Double): Double {
@@ -99,7 +96,6 @@
         const val STALE_AFTER_MS = 1_500L
         const val AVOIDED_MS = 1_000.0
         const val FULLNESS_MS = 40.0
-        const val USUAL_FULLNESS = 0.5
         const val LOAD_HALF_LIFE_MS = 400.0
         const val FACTOR_WEIGHT = 0.15
         const val FACTOR_HALF_LIFE_MS = 2_000.0
--- a/endivestep/src/test/kotlin/org/endivestep/choice/CompletionEstimatesTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/choice/CompletionEstimatesTest.kt
@@ -108,6 +108,18 @@
             choose() shouldBe "near"
         }
 
+        test("a worker nearby that was idle is not passed over because nothing was heard of it since") {
+            val here = Locality(DataCentreName("near"), "region")
+            val near = Candidate(VmName("near"), DataCentreName("near"), "region")
+            val far = Candidate(VmName("far"), DataCentreName("far"), "region")
+            var nowMs = 0L
+            val estimates = CompletionEstimates(KindProfiles().also { it.observed(read, 5.0) }) { nowMs }
+            estimates.report(near.vm, Load(0, 14))
+            nowMs = 60_000
+            estimates.report(far.vm, Load(0, 14))
+            earliestCompletion(here, estimates)(ChoiceSubject(read), listOf(near, far)).vm.text shouldBe "near"
+        }
+
         test("work that begins on a slow VM takes longer, but less than if it stayed slow") {
             val slow = completionMs(USUAL_MS, 400)
             slow shouldBeGreaterThan completionMs(USUAL_MS, 100)
