--- a/emulator/src/main/kotlin/org/endivestep/emulator/Main.kt
+++ b/emulator/src/main/kotlin/org/endivestep/emulator/Main.kt
@@ -7,6 +7,13 @@
 @OptIn(ExperimentalCli::class)
 public fun main(arguments: Array<String>) {
     val parser = ArgParser("emulator", strictSubcommandOptionsOrder = true)
-    parser.subcommands(StoreCommand(), WorkerCommand(), LoadCommand(), PlatformStoreCommand(), PlatformWorkerCommand())
+    parser.subcommands(
+        StoreCommand(),
+        WorkerCommand(),
+        LoadCommand(),
+        PlatformStoreCommand(),
+        PlatformWorkerCommand(),
+        PlatformLoadCommand(),
+    )
     parser.parse(if (arguments.isEmpty()) arrayOf("--help") else arguments)
 }
--- a/endivestep/src/main/kotlin/org/endivestep/admission/AdmissionLimit.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/admission/AdmissionLimit.kt
@@ -40,8 +40,11 @@
 
     val load: Load get() = Load(inFlight, limit.toInt())
 
-    /** Permission for one request in flight; the completion of a permit from an earlier epoch does not change the limit. */
-    data class Permit(val epoch: Long)
+    /**
+     * Permission for one request in flight; the completion of a permit from an earlier epoch does not change the limit.
+     * The slot of a request that [hasLargeAnswer] is taken until its answer was read.
+     */
+    data class Permit(val epoch: Long, val hasLargeAnswer: Boolean = false)
 
     fun configure(settings: LimitSettings) {
         this.settings = settings
--- a/endivestep/src/main/kotlin/org/endivestep/admission/AdmissionQueue.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/admission/AdmissionQueue.kt
@@ -24,6 +24,7 @@
     val rank: RequestRank = RequestRank(),
     /** Expected processing time at the worker, 0 when unknown. */
     val workMs: Double = 0.0,
+    val hasLargeAnswer: Boolean = false,
 )
 
 /** Whether a request shares the worker with others. */
@@ -37,7 +38,8 @@
 /**
  * Admits requests within an [AdmissionLimit] and queues a bounded number of them for a bounded time.
  *
- * Queued requests are admitted in the order of [WaitingQueue]. Thread-safe; [admit] blocks its thread while it waits.
+ * Queued requests are admitted in the order of [WaitingQueue]. Slow readers of large answers may take only a
+ * share of the limit, so that other requests pass them. Thread-safe; [admit] blocks its thread while it waits.
  */
 internal class AdmissionQueue(private var settings: LimitSettings, private val clockMs: () -> Long) {
     private class Waiter(val request: AdmissionRequest, val admitted: Condition) : WaitingRequest(request.rank, request.workMs) {
@@ -48,6 +50,7 @@
     private val coldRateLimiter = ColdRateLimiter()
     private val waiting = WaitingQueue<Waiter>()
     private var exclusiveRunning = false
+    private var largeAnswersRunning = 0
     private var closeReason: NotRunReason? = null
     private var slownessPercent = 0
     private val lock = ReentrantLock()
@@ -94,7 +97,7 @@
     fun admit(request: AdmissionRequest): Admission {
         lock.withLock {
             closeReason?.let { return Admission.Refused(it) }
-            if (waiting.isEmpty) tryAdmit(request.occupancy)?.let { return it }
+            if (waiting.isEmpty || largeAnswersWait(request)) tryAdmit(request)?.let { return it }
             val nowMs = clockMs()
             val waiter = Waiter(request, lock.newCondition())
             val longestMs = minOf(request.maxWaitMs, settings.queueWaitMs)
@@ -119,6 +122,7 @@
     fun release(permit: AdmissionLimit.Permit, completion: Completion) {
         lock.withLock {
             limit.release(permit, completion, clockMs())
+            if (permit.hasLargeAnswer) largeAnswersRunning--
             exclusiveRunning = false
             admitWaiting()
         }
@@ -155,8 +159,8 @@
 
     private fun admitWaiting() {
         while (true) {
-            val next = waiting.first(clockMs()) ?: break
-            resolve(next, tryAdmit(next.request.occupancy) ?: break)
+            val next = waiting.first(clockMs()) { hasShare(it.request) } ?: break
+            resolve(next, tryAdmit(next.request) ?: break)
         }
     }
 
@@ -166,15 +170,28 @@
         waiter.admitted.signal()
     }
 
-    private fun tryAdmit(occupancy: Occupancy): Admission? {
-        if (exclusiveRunning) return null
-        if (occupancy == Occupancy.ALONE && limit.load.inFlight > 0) return null
+    // Requests whose large answers have no share left do not hold up [request].
+    private fun largeAnswersWait(request: AdmissionRequest): Boolean =
+        !request.hasLargeAnswer && waiting.first(clockMs()) { hasShare(it.request) } == null
+
+    private fun hasShare(request: AdmissionRequest): Boolean =
+        !request.hasLargeAnswer || largeAnswersRunning < (limit.load.limit * LARGE_ANSWER_SHARE).toInt().coerceAtLeast(1)
+
+    private fun tryAdmit(request: AdmissionRequest): Admission? {
+        if (exclusiveRunning || !hasShare(request)) return null
+        if (request.occupancy == Occupancy.ALONE && limit.load.inFlight > 0) return null
         val nowMs = clockMs()
         if (coldRateLimiter.delayMs(nowMs) > 0) return null
-        val permit = limit.tryAcquire(nowMs) ?: return null
+        val permit = limit.tryAcquire(nowMs)?.copy(hasLargeAnswer = request.hasLargeAnswer) ?: return null
         coldRateLimiter.recordSent(nowMs)
-        exclusiveRunning = occupancy == Occupancy.ALONE
+        exclusiveRunning = request.occupancy == Occupancy.ALONE
+        if (request.hasLargeAnswer) largeAnswersRunning++
         onLoad()
         return Admission.Admitted(permit)
     }
+
+    private companion object {
+        /** Share of the limit that requests with large answers may take at the same time. */
+        const val LARGE_ANSWER_SHARE = 0.75
+    }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/admission/WaitingQueue.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/admission/WaitingQueue.kt
@@ -76,8 +76,9 @@
         return waiting.any { !it.isLate(nowMs) && waitingOrder.compare(it.sortKey(nowMs), sortKey) < 0 }
     }
 
-    /** Returns the next request to admit, or null when the queue is empty. */
-    fun first(nowMs: Long): W? = waiting.minWithOrNull(compareBy(waitingOrder) { it.sortKey(nowMs) })
+    /** Returns the next request to admit of those that are [eligible], or null when there is none. */
+    fun first(nowMs: Long, eligible: (W) -> Boolean = { true }): W? =
+        waiting.filter(eligible).minWithOrNull(compareBy(waitingOrder) { it.sortKey(nowMs) })
 
     /** Returns the total expected processing time in ms of the requests ordered before [request]. */
     fun workAheadMs(request: W, nowMs: Long): Double {
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -165,7 +165,7 @@
             callExecutorSupplier(pools.transport),
             innerServices(),
         )
-    private val callers = NettyCallerServer(settings.callers, loops, pools.callers, ::callerLimits, ingress::answer)
+    private val callers = NettyCallerServer(settings.callers, loops, pools.callers, ::callerLimits, ingress::answer, ingress::mayOverlap)
     private val readiness =
         NettyCallerServer(settings.readiness, loops, pools.platform, ::callerLimits, readinessEndpoint(::isReady))
     private val metricsListener =
--- a/endivestep/src/main/kotlin/org/endivestep/document/Document.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/document/Document.kt
@@ -71,11 +71,13 @@
     val name: KindName,
     val methods: Set<String>,
     val pathPrefix: String,
-    val idempotent: Boolean,
+    val semantics: RequestSemantics,
     val deadlineMs: Long,
     val timeoutMs: Long,
     val weight: Long,
-)
+) {
+    val idempotent: Boolean get() = semantics.idempotent
+}
 
 internal data class QuarantineSettings(val deaths: Int, val durationMs: Long)
 
--- a/endivestep/src/main/kotlin/org/endivestep/document/DocumentReader.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/document/DocumentReader.kt
@@ -160,7 +160,7 @@
                 name = KindName(kind),
                 methods = methods,
                 pathPrefix = prefix,
-                idempotent = reader.oneOf("idempotent", yesOrNo, false),
+                semantics = if (reader.oneOf("idempotent", yesOrNo, false)) RequestSemantics.Idempotent else RequestSemantics.NonIdempotent,
                 deadlineMs = deadlineMs,
                 timeoutMs = timeoutMs,
                 weight = reader.number("weight", 0L..1_000_000L, 1),
--- a/endivestep/src/main/kotlin/org/endivestep/document/RouteRule.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/document/RouteRule.kt
@@ -14,7 +14,7 @@
     val host: String,
     val pathPrefix: String,
     val destinations: List<WeightedDestination>,
-    val idempotent: Boolean,
+    val semantics: RequestSemantics,
     val objectiveMs: Long,
     val timeoutMs: Long,
     val maxAttempts: Int,
@@ -32,6 +32,11 @@
 internal class RouteTable(val rules: List<RouteRule>) {
     private val byHost = rules.groupBy { it.host }.mapValues { (_, ofHost) -> ofHost.sortedByDescending { it.pathPrefix.length } }
 
+    private val byName = rules.associateBy { it.name }
+
+    /** Returns the rule called [name], or null when there is none. */
+    fun find(name: KindName): RouteRule? = byName[name]
+
     /** Returns the rule with the longest prefix of [path], or null when none matches. */
     fun find(host: String, path: String): RouteRule? = byHost[host]?.firstOrNull { path.startsWith(it.pathPrefix) }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/egress/AnswerReader.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/AnswerReader.kt
@@ -6,12 +6,15 @@
 import java.io.InputStream
 
 /**
- * Reads the body of an answer from [connection]. A read throws [IOException] when the answer is truncated
- * or when nothing arrives within [timeoutMs]. At the end of the answer, [onComplete] is called if the
+ * Reads the body of an answer from [connection]. A read throws [IOException] when the answer is truncated or has
+ * not arrived to its end after [remainingMs]: a faulty worker may send a body without end. At the end of the answer, [onComplete] is called if the
  * connection can be reused; otherwise the connection is closed.
  */
-internal class AnswerReader(private val connection: HttpConnection, private val timeoutMs: () -> Long, private val onComplete: () -> Unit) :
-    InputStream() {
+internal class AnswerReader(
+    private val connection: HttpConnection,
+    private val remainingMs: () -> Long,
+    private val onComplete: () -> Unit,
+) : InputStream() {
     private var current = ByteArray(0)
     private var position = 0
     private var ended = false
@@ -37,17 +40,26 @@
     private fun fill(): Boolean {
         while (position == current.size) {
             if (ended) return false
-            when (val event = connection.next(timeoutMs())) {
+            when (val event = connection.next(waitMs())) {
                 is HttpResponseEvent.Content -> setCurrent(event.bytes)
                 is HttpResponseEvent.End -> finish(event.reusable)
                 is HttpResponseEvent.Failed -> failTruncated(event.cause)
                 is HttpResponseEvent.Head -> failTruncated("another answer started before its end")
+                HttpResponseEvent.NotSent -> failTruncated("its request was not sent")
                 HttpResponseEvent.TimedOut -> failTruncated("no data arrived before the deadline")
             }
         }
         return true
     }
 
+    private fun waitMs(): Long {
+        // The end of a whole response is about to be queued, if it is not queued yet.
+        if (connection.hasWholeResponse) return WHOLE_RESPONSE_WAIT_MS
+        val leftMs = remainingMs()
+        if (leftMs <= 0) failTruncated("it did not end before the deadline")
+        return leftMs
+    }
+
     private fun failTruncated(cause: String): Nothing = throw IOException("worker's answer truncated: $cause")
 
     private fun setCurrent(bytes: ByteArray) {
@@ -61,6 +73,7 @@
     }
 
     private companion object {
+        const val WHOLE_RESPONSE_WAIT_MS = 1_000L
         const val BYTE_MASK = 0xff
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
@@ -97,7 +97,8 @@
         val remainingMs = request.deadline.remainingMs(monotonicMs())
         val workMs = processingTimes.knownMs(request.kind)?.let { completionMs(it, admission.load.slownessPercent) } ?: 0.0
         val maxWaitMs = if (workMs > 0) remainingMs - (workMs * MIN_WORK_FRACTION).toLong() else remainingMs / 2
-        return AdmissionRequest(minOf(maxWaitMs, request.maxWaitMs), occupancy, request.rank, workMs)
+        val hasLargeAnswer = document()?.routes?.find(request.kind)?.semantics?.hasLargeAnswer == true
+        return AdmissionRequest(minOf(maxWaitMs, request.maxWaitMs), occupancy, request.rank, workMs, hasLargeAnswer)
     }
 
     private fun runAdmitted(
@@ -124,6 +125,10 @@
                 run.end(Completion.Failed, connectionLost = true)
                 AttemptResult.NotRun(NotRunReason.WORKER_UNREACHABLE, admission.load)
             }
+            WorkerResult.Expired -> {
+                run.end(Completion.Cancelled, connectionLost = false)
+                AttemptResult.NotRun(NotRunReason.DEADLINE_PASSED, admission.load)
+            }
             WorkerResult.Cancelled -> {
                 run.end(Completion.Cancelled, connectionLost = false)
                 AttemptResult.Unknown(UnknownReason.CONNECTION_LOST, admission.load)
@@ -188,7 +193,7 @@
             run.end(Completion.Failed, connectionLost = false)
             return AttemptResult.Unknown(UnknownReason.MISMATCHED_ANSWER, admission.load)
         }
-        if (!head.isDelimited(run.request.method)) {
+        if (!answerInterpreter.acceptsUndelimitedAnswers && !head.isDelimited(run.request.method)) {
             result.abort()
             run.end(Completion.Cancelled, connectionLost = false)
             return AttemptResult.Unknown(UnknownReason.UNDELIMITED_ANSWER, admission.load)
--- a/endivestep/src/main/kotlin/org/endivestep/egress/NettyWorkerCall.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/NettyWorkerCall.kt
@@ -36,6 +36,9 @@
 ) {
     private val address = worker.announcement.address
 
+    @Volatile
+    private var cancelled = false
+
     fun run(): WorkerResult {
         val connection =
             try {
@@ -48,6 +51,7 @@
         return try {
             exchange(connection)
         } catch (_: InterruptedException) {
+            cancelled = true
             connection.close()
             WorkerResult.Cancelled
         } catch (e: IOException) {
@@ -57,8 +61,16 @@
     }
 
     private fun exchange(connection: HttpConnection): WorkerResult {
-        connection.send(head(), attempt.body)
-        return when (val event = connection.next(remainingMs())) {
+        if (remainingMs() <= 0) {
+            connections.release(address, connection)
+            return WorkerResult.Expired
+        }
+        connection.send(head(), attempt.body) { !cancelled && remainingMs() > 0 }
+        return when (val event = connection.next(remainingMs().coerceAtLeast(1))) {
+            HttpResponseEvent.NotSent -> {
+                connections.release(address, connection)
+                WorkerResult.Expired
+            }
             is HttpResponseEvent.Head -> answered(connection, event.head)
             HttpResponseEvent.TimedOut -> {
                 connection.close()
@@ -94,7 +106,7 @@
         val head = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(attempt.method), attempt.path)
         attempt.headers.forwarded().forEach { head.headers().add(it.name, it.value) }
         head.headers().set(headers.requestId, attempt.requestId.text)
-        head.headers().set(headers.deadlineMs, remainingMs().toString())
+        head.headers().set(headers.deadlineMs, remainingMs().coerceAtLeast(1).toString())
         head.headers().set(headers.expectedWorker, worker.announcement.incarnation.text)
         when (val body = attempt.body) {
             is RequestBody.Inline -> if (body.bytes.isNotEmpty() || methodHasBody()) setLength(head, body.bytes.size.toLong())
@@ -109,7 +121,7 @@
 
     private fun setChunked(head: HttpRequest) = head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
 
-    private fun remainingMs(): Long = attempt.deadline.remainingMs(monotonicMs()).coerceAtLeast(1)
+    private fun remainingMs(): Long = attempt.deadline.remainingMs(monotonicMs())
 
     private companion object {
         const val MAX_BUFFERED_BYTES = 65_536
--- a/endivestep/src/main/kotlin/org/endivestep/egress/WorkerAnswerInterpreter.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/WorkerAnswerInterpreter.kt
@@ -22,6 +22,11 @@
     val interpret: (Service, AttemptRequest, AnswerHead) -> AnswerVerdict,
     /** Returns the worker's current processing time in percent of the usual time, or null when the answer does not state it. */
     val slownessPercent: (AnswerHead) -> Int?,
+    /**
+     * Whether an answer may end with its connection: a connection that is closed then ends the answer, and one that is
+     * reset truncates it. Otherwise such an answer is not used.
+     */
+    val acceptsUndelimitedAnswers: Boolean = false,
 )
 
 /** Interprets answers by the settings of the service. */
--- a/endivestep/src/main/kotlin/org/endivestep/egress/WorkerResult.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/WorkerResult.kt
@@ -12,6 +12,9 @@
     /** No byte of the request was sent. */
     class NotSent(val cause: String) : WorkerResult
 
+    /** The deadline passed before a byte of the request was sent. */
+    data object Expired : WorkerResult
+
     /** The request may have reached the worker; its connection is closed and not reused. */
     class Failed(val cause: String, val timedOut: Boolean) : WorkerResult
 
--- a/endivestep/src/main/kotlin/org/endivestep/http/HttpConnection.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/http/HttpConnection.kt
@@ -29,12 +29,20 @@
  * Client connection that carries one request at a time.
  *
  * Data that arrives while no request is in progress belongs to no request, so the connection is closed. A
- * response for which [isExpected] returns false is discarded. Not thread-safe except for [close].
+ * response for which [isExpected] returns false is discarded, up to [MAX_DISCARDED_BYTES] in an exchange, since
+ * a faulty peer may send such responses without end. Not thread-safe except for [close].
  */
 internal class HttpConnection(private val channel: Channel) {
     private val events = LinkedBlockingQueue<HttpResponseEvent>()
     private val queuedBytes = AtomicInteger()
 
+    // Discarded in the current exchange; only the event loop changes them after the exchange has begun.
+    @Volatile
+    private var discardedBytes = 0L
+
+    @Volatile
+    private var discardedHeads = 0
+
     @Volatile
     private var isExpected: (AnswerHead) -> Boolean = { true }
 
@@ -53,6 +61,9 @@
 
     val isOpen: Boolean get() = channel.isActive
 
+    /** Whether the response of the current exchange has arrived to its end, so that reading it does not block. */
+    val hasWholeResponse: Boolean get() = !awaitingResponse
+
     /**
      * Begins an exchange; responses for which [isExpected] returns false are discarded. Returns false when the
      * connection has been closed in the meantime and nothing can be sent on it.
@@ -60,18 +71,22 @@
     fun begin(isExpected: (AnswerHead) -> Boolean): Boolean {
         events.clear()
         queuedBytes.set(0)
+        discardedBytes = 0
+        discardedHeads = 0
         this.isExpected = isExpected
         awaitingResponse = true
         return channel.isActive
     }
 
-    /** Sends [head] and [body]. Throws [IOException] when reading a streamed body fails; the connection must then be closed. */
-    fun send(head: HttpRequest, body: RequestBody) {
+    /**
+     * Sends [head] and [body]. Throws [IOException] when reading a streamed body fails; the connection must then be closed.
+     *
+     * The thread that writes may be late, so it asks [isStillNeeded] before it writes a request with an inline body;
+     * if that returns false, nothing is sent and the next event is [HttpResponseEvent.NotSent].
+     */
+    fun send(head: HttpRequest, body: RequestBody, isStillNeeded: () -> Boolean = { true }) {
         when (body) {
-            is RequestBody.Inline -> {
-                channel.write(head)
-                channel.writeAndFlush(DefaultLastHttpContent(Unpooled.wrappedBuffer(body.bytes))).addListener(::onWritten)
-            }
+            is RequestBody.Inline -> channel.eventLoop().execute { if (isStillNeeded()) write(head, body) else skip() }
             is RequestBody.Streamed -> {
                 channel.writeAndFlush(head)
                 sendStream(body)
@@ -79,6 +94,16 @@
         }
     }
 
+    private fun write(head: HttpRequest, body: RequestBody.Inline) {
+        channel.write(head)
+        channel.writeAndFlush(DefaultLastHttpContent(Unpooled.wrappedBuffer(body.bytes))).addListener(::onWritten)
+    }
+
+    private fun skip() {
+        awaitingResponse = false
+        events.add(HttpResponseEvent.NotSent)
+    }
+
     // A failed write does not always close the connection, so it is reported here.
     private fun onWritten(written: Future<*>) {
         if (!written.isSuccess) events.add(HttpResponseEvent.Failed("could not write the request: ${written.cause()}"))
@@ -97,7 +122,7 @@
     /** Waits for the next event of the response. */
     fun next(timeoutMs: Long): HttpResponseEvent {
         val event = events.poll(timeoutMs.coerceAtLeast(0), TimeUnit.MILLISECONDS) ?: return HttpResponseEvent.TimedOut
-        if (event is HttpResponseEvent.Content) onConsumed(event.bytes.size)
+        if (event is HttpResponseEvent.Content) onConsumed(event.queuedBytes)
         return event
     }
 
@@ -117,7 +142,7 @@
 
     private fun deliver(event: HttpResponseEvent) {
         events.add(event)
-        if (event is HttpResponseEvent.Content && queuedBytes.addAndGet(event.bytes.size) > HIGH_WATERMARK_BYTES) {
+        if (event is HttpResponseEvent.Content && queuedBytes.addAndGet(event.queuedBytes) > HIGH_WATERMARK_BYTES) {
             channel.config().isAutoRead = false
         }
     }
@@ -129,12 +154,13 @@
         private var failure: String? = null
 
         override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
+            if (failure != null) return
             if (!message.decoderResult().isSuccess) {
-                fail(context, "received bytes that are not a valid HTTP response: ${message.decoderResult().cause()}")
+                fail("received bytes that are not a valid HTTP response: ${message.decoderResult().cause()}")
                 return
             }
             if (!awaitingResponse) {
-                fail(context, "received bytes after the end of the response")
+                fail("received bytes after the end of the response")
                 return
             }
             if (message is HttpResponse) handleHead(message)
@@ -147,11 +173,24 @@
             reusable = HttpUtil.isKeepAlive(response) && !discarding
             val declaredSeconds = head.header("keep-alive")?.let { keepAliveSeconds.find(it) }?.groupValues?.get(1)?.toLongOrNull()
             if (declaredSeconds != null) idleTimeoutMs = declaredSeconds * MS_PER_SECOND
-            if (!discarding) deliver(HttpResponseEvent.Head(head))
+            if (discarding) countDiscardedHead() else deliver(HttpResponseEvent.Head(head))
+        }
+
+        private fun countDiscardedHead() {
+            discardedHeads++
+            if (discardedHeads > MAX_DISCARDED_HEADS) fail("received more than $MAX_DISCARDED_HEADS responses that belong to no request")
+        }
+
+        private fun discard(bytes: Int) {
+            discardedBytes += bytes
+            if (discardedBytes > MAX_DISCARDED_BYTES) fail("received more than $MAX_DISCARDED_BYTES bytes that belong to no request")
         }
 
         private fun handleContent(content: HttpContent) {
-            if (discarding) return
+            if (discarding) {
+                discard(content.content().readableBytes())
+                return
+            }
             if (content.content().isReadable) deliver(HttpResponseEvent.Content(ByteBufUtil.getBytes(content.content())))
             if (content is LastHttpContent && failure == null) {
                 awaitingResponse = false
@@ -160,17 +199,18 @@
         }
 
         @Deprecated("Deprecated in Java")
-        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) = fail(context, cause.toString())
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) = fail(cause.toString())
 
         override fun channelInactive(context: ChannelHandlerContext) {
             if (failure == null) deliver(HttpResponseEvent.Failed("the connection was closed"))
             super.channelInactive(context)
         }
 
-        private fun fail(context: ChannelHandlerContext, cause: String) {
+        private fun fail(cause: String) {
+            if (failure != null) return
             failure = cause
             deliver(HttpResponseEvent.Failed(cause))
-            context.close()
+            channel.close()
         }
     }
 
@@ -179,6 +219,8 @@
         const val HIGH_WATERMARK_BYTES = 262_144
         const val LOW_WATERMARK_BYTES = 65_536
         const val FIRST_FINAL_STATUS = 200
+        const val MAX_DISCARDED_HEADS = 16
+        const val MAX_DISCARDED_BYTES = 1_048_576L
         const val MS_PER_SECOND = 1_000L
         const val DEFAULT_IDLE_TIMEOUT_MS = 4_000L
     }
--- a/endivestep/src/main/kotlin/org/endivestep/http/HttpResponseEvent.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/http/HttpResponseEvent.kt
@@ -6,7 +6,14 @@
 internal sealed interface HttpResponseEvent {
     class Head(val head: AnswerHead) : HttpResponseEvent
 
-    class Content(val bytes: ByteArray) : HttpResponseEvent
+    class Content(val bytes: ByteArray) : HttpResponseEvent {
+        /** Memory that this event takes while it is queued: many events may have one byte each. */
+        val queuedBytes: Int get() = bytes.size + OVERHEAD_BYTES
+
+        private companion object {
+            const val OVERHEAD_BYTES = 128
+        }
+    }
 
     /** The response ended as its framing declares; [reusable] when the connection can carry another request. */
     class End(val reusable: Boolean) : HttpResponseEvent
@@ -14,6 +21,9 @@
     /** The connection failed, or received bytes that are not a valid response. */
     class Failed(val cause: String) : HttpResponseEvent
 
+    /** The request was not sent, because it was no longer needed when the connection was ready to send it. */
+    data object NotSent : HttpResponseEvent
+
     /** Nothing arrived within the timeout. */
     data object TimedOut : HttpResponseEvent
 }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/CallerConnection.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/CallerConnection.kt
@@ -1,10 +1,14 @@
 package org.endivestep.ingress
 
 import io.netty.buffer.ByteBufUtil
+import io.netty.channel.ChannelDuplexHandler
 import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelPromise
 import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
@@ -13,32 +17,31 @@
 import java.util.concurrent.Executor
 import java.util.concurrent.RejectedExecutionException
 
+/** Returns whether a request may run while others of the same connection run; see [RequestPipeline]. */
+internal typealias OverlapRule = (CallerRequest) -> Boolean
+
 /**
- * Handles one caller connection; requests are served one at a time, in order of arrival.
+ * Handles one caller connection: pipelined requests run in the order of [RequestPipeline], and their answers
+ * leave in the order of the requests.
  *
  * A body of at most [MAX_BUFFERED_BODY_BYTES] is buffered before the handler starts, so that no thread
- * blocks on a slow caller; a longer body is passed to the handler as a stream.
+ * blocks on a slow caller; a longer body is passed to the handler as a stream. Reading pauses while too many
+ * requests wait, and none starts while the caller does not read its answers, so the memory of a connection
+ * is bounded.
  */
 internal class CallerConnection(
     private val handlerExecutor: Executor,
     private val limits: () -> CallerLimits,
     private val isClosing: () -> Boolean,
     private val handler: RequestHandler,
-) : ChannelInboundHandlerAdapter() {
-    private val pendingMessages = ArrayDeque<Any>()
+    private val mayOverlap: OverlapRule,
+) : ChannelDuplexHandler() {
+    private val pipeline = RequestPipeline<ServedRequest>()
     private var receiving: ReceivedRequest? = null
-    private var running: ServedRequest? = null
+    private var bodyPaused = false
+    private var closesAfterAnswer = false
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
-        // With pipelining, the next request may arrive before the response to the previous one has ended.
-        if (running != null && receiving == null) {
-            pendingMessages.addLast(message)
-            return
-        }
-        process(context, message)
-    }
-
-    private fun process(context: ChannelHandlerContext, message: Any) {
         try {
             if (message is HttpRequest) begin(context, message)
             if (message is HttpContent) processContent(context, message)
@@ -48,6 +51,7 @@
     }
 
     private fun begin(context: ChannelHandlerContext, request: HttpRequest) {
+        if (pipeline.isClosed) return
         val length = HttpUtil.getContentLength(request, 0L)
         when {
             !request.decoderResult().isSuccess -> refuse(context, HttpResponseStatus.BAD_REQUEST)
@@ -72,52 +76,98 @@
         val bytes = ByteBufUtil.getBytes(content.content())
         when (request.add(bytes, ended)) {
             ReceivedRequest.BodyProgress.INCOMPLETE -> Unit
-            ReceivedRequest.BodyProgress.READY -> start(context, request)
+            ReceivedRequest.BodyProgress.READY -> enqueue(context, request, isWhole = ended)
             ReceivedRequest.BodyProgress.TOO_LONG -> refuse(context, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
         }
     }
 
-    private fun start(context: ChannelHandlerContext, request: ReceivedRequest) {
-        request.onBackpressure { pause -> context.channel().config().isAutoRead = !pause }
-        val served = ServedRequest(context.channel(), request, handler, isClosing) { context.executor().execute { onExchangeEnd(context) } }
-        running = served
+    private fun enqueue(context: ChannelHandlerContext, request: ReceivedRequest, isWhole: Boolean) {
+        request.onBackpressure { pause ->
+            context.executor().execute {
+                bodyPaused = pause
+                updateReading(context)
+            }
+        }
+        val overlap = if (isWhole) mayOverlap else { _ -> false }
+        pipeline.add(ServedRequest(context.channel(), request, overlap) { handler(request.toRequest()) })
+        startWaiting(context)
+    }
+
+    // The answers of requests before the refused one leave first; the bytes behind it cannot be parsed.
+    private fun refuse(context: ChannelHandlerContext, status: HttpResponseStatus) {
+        receiving = null
+        pipeline.add(ServedRequest(context.channel(), received = null, { false }) { emptyReply(status.code(), emptyList()) })
+        startWaiting(context)
+    }
+
+    private fun startWaiting(context: ChannelHandlerContext) {
+        while (context.channel().isWritable) {
+            val next = pipeline.startNext(isClosing()) ?: break
+            if (pipeline.first === next) next.allowAnswer()
+            if (!start(next)) break
+        }
+        updateReading(context)
+    }
+
+    /** Returns whether [request] was started; without a free thread it waits for the requests before it, or is refused. */
+    private fun start(request: ServedRequest): Boolean {
         try {
-            handlerExecutor.execute(served)
+            handlerExecutor.execute(request)
+            return true
         } catch (_: RejectedExecutionException) {
-            served.reject()
+            if (pipeline.first === request) request.reject() else pipeline.putBack(request)
+            return false
         }
     }
 
-    private fun onExchangeEnd(context: ChannelHandlerContext) {
-        running = null
-        if (!context.channel().isActive) return
-        if (receiving != null) {
-            // The response ended before the request body did, so the remaining bytes must not be parsed as a new request.
-            context.close()
-            return
+    private fun updateReading(context: ChannelHandlerContext) {
+        context.channel().config().isAutoRead = !bodyPaused && !pipeline.isFull
+    }
+
+    /** Sees each part of an answer before it is written; only the answer to the first running request is being sent. */
+    override fun write(context: ChannelHandlerContext, message: Any, promise: ChannelPromise) {
+        if (message is HttpResponse) beginAnswer(message)
+        context.write(message, promise)
+        if (message is LastHttpContent) endAnswer(context, promise)
+    }
+
+    private fun beginAnswer(response: HttpResponse) {
+        // After an answer that comes before the end of the request body, the remaining bytes must not be parsed as a new request.
+        val bodyIsIncomplete = receiving != null && pipeline.first?.isFor(receiving) == true
+        closesAfterAnswer = bodyIsIncomplete || pipeline.endsWithFirst(isClosing())
+        if (!closesAfterAnswer) return
+        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        pipeline.close().drop(1).forEach { it.cancel() }
+    }
+
+    private fun endAnswer(context: ChannelHandlerContext, written: ChannelPromise) {
+        if (pipeline.first == null) return
+        pipeline.endFirst()?.allowAnswer()
+        if (closesAfterAnswer || (isClosing() && isIdle())) {
+            written.addListener { context.close() }
+        } else {
+            startWaiting(context)
         }
-        if (isClosing() && pendingMessages.isEmpty()) context.close()
-        while (pendingMessages.isNotEmpty() && (running == null || receiving != null)) process(context, pendingMessages.removeFirst())
     }
 
-    private fun refuse(context: ChannelHandlerContext, status: HttpResponseStatus) {
-        receiving = null
-        context.writeAndFlush(closingResponse(status)).addListener { context.close() }
+    private fun isIdle(): Boolean = pipeline.isIdle && receiving == null
+
+    override fun channelWritabilityChanged(context: ChannelHandlerContext) {
+        startWaiting(context)
+        super.channelWritabilityChanged(context)
     }
 
     override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
         if (event !== CloseWhenIdle) {
             super.userEventTriggered(context, event)
-        } else if (running == null && receiving == null) {
+        } else if (isIdle()) {
             context.close()
         }
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
         receiving?.fail("caller closed the connection before the end of the request body")
-        running?.cancel()
-        pendingMessages.forEach { ReferenceCountUtil.release(it) }
-        pendingMessages.clear()
+        pipeline.close().forEach { it.cancel() }
         super.channelInactive(context)
     }
 
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/NettyCallerServer.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/NettyCallerServer.kt
@@ -1,6 +1,7 @@
 package org.endivestep.ingress
 
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
@@ -19,6 +20,7 @@
 
 /**
  * HTTP server on Netty that listens at [address] and runs [handler] for each request on [handlerExecutor].
+ * Pipelined requests for which [mayOverlap] returns true run at the same time.
  *
  * It detects at once that a caller has closed its connection, and interrupts the handler. Jetty's server
  * does not detect this while it waits for a response.
@@ -29,6 +31,7 @@
     private val handlerExecutor: Executor,
     private val limits: () -> CallerLimits,
     private val handler: RequestHandler,
+    private val mayOverlap: OverlapRule = { false },
 ) {
     private val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
     private var listener: Channel? = null
@@ -46,6 +49,8 @@
                 .option(ChannelOption.SO_BACKLOG, ACCEPT_QUEUE)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                // All requests of one read are decoded at once, so its size bounds their number.
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES))
                 .childHandler(
                     object : ChannelInitializer<SocketChannel>() {
                         override fun initChannel(channel: SocketChannel) = prepare(channel)
@@ -59,7 +64,7 @@
     private fun prepare(channel: SocketChannel) {
         connections.add(channel)
         channel.pipeline().addLast(HttpServerCodec(MAX_LINE_BYTES, limits().headerBytes, MAX_CHUNK_BYTES))
-        channel.pipeline().addLast(CallerConnection(handlerExecutor, limits, { closing }, handler))
+        channel.pipeline().addLast(CallerConnection(handlerExecutor, limits, { closing }, handler, mayOverlap))
     }
 
     /** Closes idle connections now, and each other connection when its current exchange has ended. */
@@ -77,6 +82,9 @@
 
     private companion object {
         const val ACCEPT_QUEUE = 1_024
+        const val MIN_READ_BYTES = 64
+        const val FIRST_READ_BYTES = 2_048
+        const val MAX_READ_BYTES = 32_768
         const val MAX_LINE_BYTES = 8_192
         const val MAX_CHUNK_BYTES = 16_384
     }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/ReceivedRequest.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/ReceivedRequest.kt
@@ -52,6 +52,9 @@
         stream?.onBackpressure = pause
     }
 
+    /** Number of bytes of the body that are held in memory until the request is handled. */
+    val bufferedBytes: Int get() = buffered.size()
+
     val keepsAlive: Boolean get() = HttpUtil.isKeepAlive(head)
 
     fun toRequest(): CallerRequest {
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
@@ -72,6 +72,9 @@
         }
     }
 
+    /** Whether [request] may run while other requests of its connection run: only one that may be repeated, by its route. */
+    fun mayOverlap(request: CallerRequest): Boolean = document()?.routes?.find(host(request), request.path)?.semantics?.idempotent == true
+
     private fun route(request: CallerRequest): CallerReply {
         val requestId = request.header(headers.requestId).orEmpty()
         val current = document() ?: return refusal(request, null, NotRunReason.NO_CONFIGURATION)
@@ -83,6 +86,7 @@
                 ?: return refusal(request, rule, NotRunReason.UNKNOWN_SERVICE)
         val deadlineMs = request.header(headers.deadlineMs)?.toLongOrNull() ?: rule.timeoutMs
         val deadline = Deadline(request.arrivedMs + minOf(deadlineMs, rule.timeoutMs))
+        if (deadline.remainingMs(monotonicMs()) <= 0) return refusal(request, rule, NotRunReason.DEADLINE_PASSED)
         if (deadline.atMs > endMs) return refusal(request, rule, NotRunReason.LEAVING)
         val call = call(request, rule, service, requestId, deadline)
         val result = dispatch(call, AttemptId(randomId()))
@@ -98,7 +102,7 @@
         return IncomingCall(
             id = RequestId(requestId),
             service = service,
-            kind = Kind(rule.name, setOf(request.method), rule.pathPrefix, rule.idempotent, rule.objectiveMs, rule.timeoutMs, weight = 1),
+            kind = Kind(rule.name, setOf(request.method), rule.pathPrefix, rule.semantics, rule.objectiveMs, rule.timeoutMs, weight = 1),
             method = request.method,
             path = request.target,
             headers = forwardedHeaders(request),
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/ServedRequest.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/ServedRequest.kt
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import org.endivestep.exchange.readWhole
 import java.io.IOException
+import java.util.concurrent.CountDownLatch
 
 private val logger = KotlinLogging.logger {}
 
@@ -28,16 +29,32 @@
 
 internal fun continueResponse(): FullHttpResponse = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE)
 
-/** Handles one request of a caller and sends the response; [onEnd] is called once, when the exchange has ended. */
+/**
+ * Answers one request of a caller with what [answer] returns, once [allowAnswer] was called, when the responses to the
+ * requests before it on the connection have been sent. A request that was refused unread has no [received] part.
+ */
 internal class ServedRequest(
     private val channel: Channel,
-    private val received: ReceivedRequest,
-    private val handler: RequestHandler,
-    private val isClosing: () -> Boolean,
-    private val onEnd: () -> Unit,
-) : Runnable {
+    private val received: ReceivedRequest?,
+    private val overlapRule: OverlapRule,
+    private val answer: () -> CallerReply,
+) : Runnable,
+    PipelinedRequest {
     private var runner: Thread? = null
     private var cancelled = false
+    private val mayAnswer = CountDownLatch(1)
+
+    override val bytes: Int get() = received?.bufferedBytes ?: 0
+
+    override val mayOverlap: Boolean by lazy(LazyThreadSafetyMode.NONE) { received != null && overlapRule(received.toRequest()) }
+
+    override val endsConnection: Boolean get() = received?.keepsAlive != true
+
+    /** Whether this is the request whose body [received] still arrives. */
+    fun isFor(received: ReceivedRequest?): Boolean = this.received === received
+
+    /** Lets the response be sent, now that it is the next one on the connection. */
+    fun allowAnswer() = mayAnswer.countDown()
 
     /** Interrupts the handler because the caller no longer waits for the response. */
     fun cancel() =
@@ -49,18 +66,16 @@
     /** Responds with 503 because no handler thread is free; the request is not handled. */
     fun reject() {
         channel.writeAndFlush(closingResponse(HttpResponseStatus.SERVICE_UNAVAILABLE)).addListener { channel.close() }
-        onEnd()
     }
 
     @Suppress("TooGenericExceptionCaught") // On any failure the caller must not receive a complete response.
     override fun run() {
         synchronized(this) {
-            if (cancelled) return onEnd()
+            if (cancelled) return
             runner = Thread.currentThread()
         }
         try {
-            val request = received.toRequest()
-            send(handler(request))
+            send(answer())
         } catch (_: InterruptedException) {
             channel.close()
         } catch (e: Exception) {
@@ -71,12 +86,12 @@
                 runner = null
                 Thread.interrupted()
             }
-            onEnd()
         }
     }
 
     private fun send(reply: CallerReply) {
         reply.body.use { body ->
+            mayAnswer.await()
             val length = reply.length
             if (length != null && length <= MAX_SINGLE_WRITE_BYTES) {
                 sendComplete(reply, body.readWhole(length.toInt()))
@@ -89,7 +104,7 @@
     private fun sendComplete(reply: CallerReply, body: ByteArray) {
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(reply.status), Unpooled.wrappedBuffer(body))
         setHeaders(response.headers(), reply, body.size.toLong())
-        finish(channel.writeAndFlush(response))
+        channel.writeAndFlush(response)
     }
 
     // Reads the next chunk before sending the current one, so that a truncated response never looks complete.
@@ -103,7 +118,7 @@
             await(channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(chunk))))
             chunk = nextChunk
         }
-        finish(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT))
+        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
     }
 
     private fun setHeaders(headers: HttpHeaders, reply: CallerReply, length: Long?) {
@@ -113,13 +128,6 @@
         } else {
             headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
         }
-        if (closes()) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-    }
-
-    private fun closes(): Boolean = !received.keepsAlive || isClosing()
-
-    private fun finish(written: ChannelFuture) {
-        if (closes()) written.addListener { channel.close() }
     }
 
     private fun await(written: ChannelFuture) {
--- a/endivestep/src/test/kotlin/org/endivestep/egress/NettyWorkerCallTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/egress/NettyWorkerCallTest.kt
@@ -17,9 +17,13 @@
 import org.endivestep.identity.ServiceName
 import org.endivestep.identity.WorkerIncarnation
 import org.endivestep.settings.Address
+import java.io.IOException
+import java.io.OutputStream
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
 
@@ -33,6 +37,9 @@
     @Volatile
     var connections = 0
 
+    /** Ids of the requests received. */
+    val requests = ConcurrentLinkedQueue<String>()
+
     init {
         thread(isDaemon = true) { while (!server.isClosed) runCatching { serve(server.accept()) } }
     }
@@ -42,7 +49,9 @@
         thread(isDaemon = true) {
             val reader = socket.getInputStream().bufferedReader()
             answers.forEach { answer ->
-                while (!reader.readLine().isNullOrEmpty()) Unit
+                generateSequence { reader.readLine()?.ifEmpty { null } }.forEach { line ->
+                    if (line.startsWith("Id:")) requests += line.substringAfter(": ")
+                }
                 socket.getOutputStream().write(answer.toByteArray())
                 socket.getOutputStream().flush()
             }
@@ -53,6 +62,32 @@
     override fun close() = server.close()
 }
 
+/** A worker that answers each request with [start] and then sends [endless] until the connection is closed. */
+private class EndlessWorker(private val start: String, private val endless: String) : AutoCloseable {
+    private val server = ServerSocket(0, 10, InetAddress.getLoopbackAddress())
+    val address = Address("127.0.0.1", server.localPort)
+    val closedByPeer = CountDownLatch(1)
+
+    init {
+        thread(isDaemon = true) { while (!server.isClosed) runCatching { serve(server.accept()) } }
+    }
+
+    private fun serve(socket: Socket) {
+        thread(isDaemon = true) {
+            val reader = socket.getInputStream().bufferedReader()
+            while (!reader.readLine().isNullOrEmpty()) Unit
+            runCatching {
+                socket.getOutputStream().write(start.toByteArray())
+                val bytes = endless.toByteArray()
+                while (true) socket.getOutputStream().write(bytes)
+            }
+            closedByPeer.countDown()
+        }
+    }
+
+    override fun close() = server.close()
+}
+
 private fun answer(id: String, body: String) = "HTTP/1.1 200 OK\r\nId: $id\r\nContent-Length: ${body.length}\r\n\r\n$body"
 
 private fun request(id: String, remainingMs: Long = 2_000) =
@@ -69,12 +104,26 @@
         fingerprint = Fingerprint("print"),
     )
 
+private const val DEADLINE_MS = 1_500L
+
+/** Returns the first bytes of the body and reads the others; null when the body is truncated. */
+private fun readBody(answered: WorkerResult.Answered): String? =
+    try {
+        val first = answered.body.readNBytes(1_000_000)
+        answered.body.transferTo(OutputStream.nullOutputStream())
+        first.decodeToString()
+    } catch (_: IOException) {
+        answered.abort()
+        null
+    }
+
 private fun describe(result: WorkerResult): String =
     when (result) {
-        is WorkerResult.Answered -> "${result.head.status} ${result.body.readBytes().decodeToString()}"
+        is WorkerResult.Answered -> readBody(result)?.let { "${result.head.status} $it" } ?: "truncated"
         is WorkerResult.Failed -> if (result.timedOut) "timed out" else "failed"
         is WorkerResult.NotSent -> "not sent"
         WorkerResult.Cancelled -> "cancelled"
+        WorkerResult.Expired -> "expired"
     }
 
 private fun <T> withCall(address: Address, use: (send: (AttemptRequest) -> String) -> T): T {
@@ -138,4 +187,86 @@
             val port = ServerSocket(0).use { it.localPort }
             withCall(Address("127.0.0.1", port)) { send -> send(request("1")) } shouldBe "not sent"
         }
+
+        test("a worker that never stops sending is given up at a bound, and its connection is closed") {
+            class Case(val name: String, val start: String, val endless: String, val expected: String, val beforeDeadline: Boolean)
+            val head = "HTTP/1.1 200 OK\r\nId: 1\r\n"
+            val filler = "z".repeat(1_000)
+            listOf(
+                Case("a head", head, "X-Filler: $filler\r\n", "failed", beforeDeadline = true),
+                Case("a line", "HTTP/1.1 200 ", filler, "failed", beforeDeadline = true),
+                Case("bytes that are not an answer", "", "$filler\r\n", "failed", beforeDeadline = true),
+                Case("interim answers", "", "HTTP/1.1 102 Processing\r\n\r\n", "failed", beforeDeadline = true),
+                Case("answers to other requests", "", answer("0", filler), "failed", beforeDeadline = true),
+                Case(
+                    "an answer to another request",
+                    "HTTP/1.1 200 OK\r\nId: 0\r\nTransfer-Encoding: chunked\r\n\r\n",
+                    "3e8\r\n$filler\r\n",
+                    "failed",
+                    beforeDeadline = true,
+                ),
+                Case("bytes after an answer", answer("1", "whole"), filler, "200 whole", beforeDeadline = true),
+                Case("a body where none may be", "HTTP/1.1 204 No Content\r\nId: 1\r\n\r\n", filler, "204 ", beforeDeadline = true),
+                Case("a chunked body", "${head}Transfer-Encoding: chunked\r\n\r\n", "3e8\r\n$filler\r\n", "truncated", false),
+                Case("chunks of one byte", "${head}Transfer-Encoding: chunked\r\n\r\n", "1\r\nz\r\n".repeat(100), "truncated", false),
+                Case("a body without a length", "$head\r\n", filler, "truncated", beforeDeadline = false),
+                Case("a chunk extension", "${head}Transfer-Encoding: chunked\r\n\r\n3e8;x=", filler, "failed", beforeDeadline = true),
+                Case("trailers", "${head}Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-Filler: $filler\r\n", "failed", true),
+            ).forEach { case ->
+                val worker = EndlessWorker(case.start, case.endless)
+                worker.use {
+                    withClue(case.name) {
+                        val startMs = monotonicMs()
+                        withCall(worker.address) { send -> send(request("1", remainingMs = DEADLINE_MS)) } shouldBe case.expected
+                        val tookMs = monotonicMs() - startMs
+                        withClue("took $tookMs ms") {
+                            (tookMs < if (case.beforeDeadline) DEADLINE_MS else DEADLINE_MS + 500) shouldBe true
+                        }
+                        worker.closedByPeer.await(1, TimeUnit.SECONDS) shouldBe true
+                    }
+                }
+            }
+        }
+
+        test("an answer that is cut off at any point is never complete, whatever its framing") {
+            class Framing(val name: String, val head: String, val encode: (String) -> String)
+            val framings =
+                listOf(
+                    Framing("length", "Content-Length: 200000\r\n") { it },
+                    Framing("chunks", "Transfer-Encoding: chunked\r\n") { body ->
+                        body.chunked(10_000).joinToString("") { "2710\r\n$it\r\n" } + "0\r\n\r\n"
+                    },
+                    Framing("end of the connection", "") { it },
+                )
+            val body = "y".repeat(200_000)
+            framings.forEach { framing ->
+                val whole = "HTTP/1.1 200 OK\r\nId: 1\r\n${framing.head}\r\n" + framing.encode(body)
+                listOf(10, 40, 100, 60_000, 66_000, 150_000, whole.length - 1).forEach { cut ->
+                    ScriptedWorker(listOf(whole.take(cut)), reset).use { worker ->
+                        val result = withCall(worker.address) { send -> send(request("1")) }
+                        withClue("${framing.name} cut off at $cut") { (result == "failed" || result == "truncated") shouldBe true }
+                    }
+                }
+                ScriptedWorker(listOf(whole), close).use { worker ->
+                    withClue(framing.name) { withCall(worker.address) { send -> send(request("1")) } shouldBe "200 $body" }
+                }
+            }
+        }
+
+        test("a request whose deadline has passed, or whose caller has left, is not sent by a thread that is late") {
+            val loops = NioEventLoopGroup(1)
+            ScriptedWorker(listOf(answer("1", "whole")), keepOpen).use { worker ->
+                val call = nettyWorkerCall(HttpConnectionPool(loops, connectTimeoutMs = 500), headers)
+                val local = LocalWorker(Announcement(ServiceName("s"), worker.address, WorkerIncarnation("w"), false), WorkerPhase.SERVING)
+                call(local, request("1")).let(::describe) shouldBe "200 whole"
+                loops.execute { Thread.sleep(600) }
+                val caller = thread { runCatching { call(local, request("2", remainingMs = 5_000)) } }
+                Thread.sleep(50)
+                caller.interrupt()
+                call(local, request("3", remainingMs = 200)).let(::describe) shouldBe "expired"
+                Thread.sleep(700)
+                worker.requests.toList() shouldBe listOf("1")
+            }
+            loops.shutdownGracefully(0, 1, TimeUnit.SECONDS)
+        }
     })
--- a/endivestep/src/test/kotlin/org/endivestep/ingress/NettyCallerServerTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/ingress/NettyCallerServerTest.kt
@@ -1,5 +1,6 @@
 package org.endivestep.ingress
 
+import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
@@ -7,21 +8,29 @@
 import io.netty.channel.nio.NioEventLoopGroup
 import org.endivestep.document.CallerLimits
 import org.endivestep.exchange.RequestBody
+import org.endivestep.exchange.monotonicMs
 import org.endivestep.settings.Address
 import java.io.IOException
 import java.io.InputStream
 import java.net.ServerSocket
 import java.net.Socket
 import java.net.SocketException
+import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
 
-private class TestServer(handler: RequestHandler, limits: CallerLimits = CallerLimits()) : AutoCloseable {
+private class TestServer(
+    handler: RequestHandler,
+    limits: CallerLimits = CallerLimits(),
+    mayOverlap: OverlapRule = { it.method == "GET" },
+) : AutoCloseable {
     private val loops = NioEventLoopGroup(1)
     private val runners = Executors.newCachedThreadPool()
     private val port = ServerSocket(0).use { it.localPort }
-    val listener = NettyCallerServer(Address("127.0.0.1", port), loops, runners, { limits }, handler)
+    val listener = NettyCallerServer(Address("127.0.0.1", port), loops, runners, { limits }, handler, mayOverlap)
 
     init {
         listener.start()
@@ -46,6 +55,12 @@
 
 private fun reply(text: String) = CallerReply(200, emptyList(), text.byteInputStream(), text.length.toLong())
 
+private fun awaitUntil(condition: () -> Boolean) {
+    val untilMs = monotonicMs() + 3_000
+    while (!condition() && monotonicMs() < untilMs) Thread.sleep(5)
+    condition() shouldBe true
+}
+
 private fun bodyOf(request: CallerRequest): String =
     when (val body = request.body) {
         is RequestBody.Inline -> body.bytes.decodeToString()
@@ -100,6 +115,133 @@
             }
         }
 
+        test("pipelined requests that may overlap run at the same time, and their answers leave in order") {
+            TestServer({ request ->
+                // The earlier a request, the longer it takes.
+                Thread.sleep(200 - 8 * request.target.removePrefix("/").toLong())
+                reply(request.target)
+            }).use { server ->
+                val startMs = monotonicMs()
+                val requests = (0..18).joinToString("") { "GET /$it HTTP/1.1\r\nHost: h\r\n\r\n" }
+                val answers = server.exchange("${requests}GET /19 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+                Regex("\r\n\r\n/(\\d+)").findAll(answers).map { it.groupValues[1].toInt() }.toList() shouldBe (0..19).toList()
+                // One after the other they would take 2.5 s.
+                (monotonicMs() - startMs < 1_500) shouldBe true
+            }
+        }
+
+        test("a pipelined request that may not overlap starts when those before it have ended, and those behind it wait for its end") {
+            val running = AtomicInteger()
+            val beside = ConcurrentLinkedQueue<String>()
+            TestServer({ request ->
+                val count = running.incrementAndGet()
+                if (request.method == "POST") beside += "$count"
+                Thread.sleep(100)
+                if (request.method == "POST") beside += "${running.get()}"
+                running.decrementAndGet()
+                reply(request.target)
+            }).use { server ->
+                val post = "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx"
+                val answers = server.exchange("$GET\r\n${post}GET /c HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+                Regex("/[abc]").findAll(answers).map { it.value }.toList() shouldBe listOf("/a", "/b", "/c")
+                beside.toList() shouldBe listOf("1", "1")
+            }
+        }
+
+        test("requests behind one that ends the connection are not run") {
+            class Case(val name: String, val first: String)
+            listOf(
+                Case("Connection: close", "${GET}Connection: close\r\n\r\n"),
+                Case("a malformed request", "nonsense\r\n\r\n"),
+                Case("a body over the limit", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n"),
+            ).forEach { case ->
+                val runs = ConcurrentLinkedQueue<String>()
+                TestServer({ request -> reply("ran").also { runs += request.target } }, CallerLimits(bodyBytes = 10)).use { server ->
+                    server.exchange("${case.first}GET /behind HTTP/1.1\r\nHost: h\r\n\r\n") shouldContain "connection: close"
+                    withClue(case.name) { runs.contains("/behind") shouldBe false }
+                }
+            }
+        }
+
+        test("an answer to a malformed request leaves after the answers to those before it") {
+            TestServer({ request ->
+                Thread.sleep(100)
+                reply(request.target)
+            }).use { server ->
+                val answers = server.exchange("$GET\r\nnonsense\r\n\r\n")
+                (answers.indexOf("200 OK") in 0 until answers.indexOf("400 Bad Request")) shouldBe true
+            }
+        }
+
+        test("a caller that pipelines requests and reads no answer is read no further") {
+            val runs = AtomicInteger()
+            TestServer({
+                runs.incrementAndGet()
+                reply("z".repeat(10_000))
+            }).use { server ->
+                server.connect().use { socket ->
+                    socket.soTimeout = 500
+                    val request = "GET /${"a".repeat(1_000)} HTTP/1.1\r\nHost: h\r\n\r\n".toByteArray()
+                    val sent = AtomicInteger()
+                    val writer =
+                        thread(isDaemon = true) {
+                            runCatching {
+                                repeat(200_000) {
+                                    socket.getOutputStream().write(request)
+                                    sent.incrementAndGet()
+                                }
+                            }
+                        }
+                    writer.join(2_000)
+                    // The system's buffers hold some MB in each direction; beyond them, neither requests nor answers may collect.
+                    withClue("sent ${sent.get()}, run ${runs.get()}") {
+                        (sent.get() < 30_000) shouldBe true
+                        (runs.get() < 2_000) shouldBe true
+                    }
+                }
+            }
+        }
+
+        test("a caller that disconnects interrupts all of its pipelined requests") {
+            val began = CountDownLatch(3)
+            val interrupted = CountDownLatch(3)
+            TestServer({
+                began.countDown()
+                try {
+                    Thread.sleep(10_000)
+                } catch (e: InterruptedException) {
+                    interrupted.countDown()
+                    throw e
+                }
+                reply("late")
+            }).use { server ->
+                val socket = server.connect()
+                socket.getOutputStream().write("$GET\r\n".repeat(3).toByteArray())
+                began.await(3, TimeUnit.SECONDS) shouldBe true
+                socket.close()
+                interrupted.await(500, TimeUnit.MILLISECONDS) shouldBe true
+            }
+        }
+
+        test("a planned stop ends a pipelined connection at an answer, and every request that ran is answered") {
+            val runs = AtomicInteger()
+            TestServer({ request ->
+                runs.incrementAndGet()
+                Thread.sleep(100)
+                reply(request.target)
+            }).use { server ->
+                server.connect().use { socket ->
+                    socket.getOutputStream().write((1..30).joinToString("") { "GET /$it HTTP/1.1\r\nHost: h\r\n\r\n" }.toByteArray())
+                    awaitUntil { runs.get() >= 8 }
+                    server.listener.closeAfterAnswers()
+                    val answers = socket.getInputStream().readBytes().decodeToString()
+                    Regex("200 OK").findAll(answers).count() shouldBe runs.get()
+                    Regex("connection: close").findAll(answers).count() shouldBe 1
+                    answers.lastIndexOf("200 OK") shouldBe answers.substringBefore("connection: close").lastIndexOf("200 OK")
+                }
+            }
+        }
+
         test("request bodies arrive complete, short and long, with Content-Length and chunked") {
             listOf(0, 10, 100_000, 2_000_000).forEach { size ->
                 val body = "y".repeat(size)
--- a/endivestep/src/test/kotlin/org/endivestep/ingress/RoutesTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/ingress/RoutesTest.kt
@@ -4,6 +4,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.ints.shouldBeInRange
 import io.kotest.matchers.shouldBe
+import org.endivestep.document.RequestSemantics
 import org.endivestep.document.RouteRule
 import org.endivestep.document.RouteTable
 import org.endivestep.document.WeightedDestination
@@ -17,7 +18,7 @@
         host = host,
         pathPrefix = prefix,
         destinations = weights.map { WeightedDestination(ServiceName(it.first), it.second) },
-        idempotent = true,
+        semantics = RequestSemantics.Idempotent,
         objectiveMs = 500,
         timeoutMs = 1_000,
         maxAttempts = 2,
