--- a/endivestep/src/main/kotlin/org/endivestep/claim/Claims.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/claim/Claims.kt
@@ -7,6 +7,7 @@
 import org.endivestep.identity.KindName
 import org.endivestep.identity.ServiceName
 import org.endivestep.identity.VmName
+import org.endivestep.identity.toHexadecimal
 import org.endivestep.outcome.AnswerHead
 import org.endivestep.outcome.HeaderField
 import org.endivestep.protocol.v1.ClaimRecord
@@ -25,7 +26,7 @@
 internal data class ClaimKey(val service: ServiceName, val kind: KindName, val idempotencyKey: String) {
     fun objectKey(): ObjectKey {
         val digest = MessageDigest.getInstance("SHA-256").digest(idempotencyKey.toByteArray())
-        return ObjectKey("claims/${service.text}/${kind.text}/" + digest.joinToString("") { "%02x".format(it) })
+        return ObjectKey("claims/${service.text}/${kind.text}/" + digest.toHexadecimal())
     }
 }
 
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/Daemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/Daemon.kt
@@ -53,6 +53,7 @@
 import org.endivestep.metrics.OutcomeCounters
 import org.endivestep.outcome.AttemptResult
 import org.endivestep.probe.IdleProber
+import org.endivestep.protocol.AdmissionNotices
 import org.endivestep.protocol.ControlClient
 import org.endivestep.protocol.ControlServer
 import org.endivestep.protocol.ExchangeClient
@@ -119,6 +120,7 @@
     private val ingress = Ingress(::document, dispatcher, claims, claimTasks, counters)
     private val prober = IdleProber(egress, { workers.worker }, ::document, ::probeOverHttp) { supervisor.workerNotListening(it) }
     private val unauthenticatedCalls = AtomicLong()
+    private val admissionNotices = AdmissionNotices(::monotonicMs)
     private val innerServer =
         innerServer(
             Address(settings.host, settings.innerPort),
@@ -150,6 +152,7 @@
         metrics.gauge("endivestep.probes.spent", "Probes sent to the worker") { prober.spent }
         metrics.gauge("endivestep.overrides", "States of data centres that the store has not confirmed") { overrides.entries.size }
         metrics.gauge("endivestep.quarantined", "Requests in quarantine") { crashes.quarantinedCount }
+        admissionNotices.start()
         innerServer.start()
         gossip.start()
         joining.start()
@@ -256,9 +259,7 @@
 
     private fun innerServices(): List<BindableService> =
         listOf(
-            ExchangeServer(egress, {
-                gossip.self.incarnation
-            }, pools.attemptRunners),
+            ExchangeServer(egress, { gossip.self.incarnation }, pools.attemptRunners, admissionNotices),
             ControlServer(gossip, adoption, counters, overrides::entries),
         )
 
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/InnerServer.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/InnerServer.kt
@@ -13,6 +13,7 @@
 
 private const val KEEP_ALIVE_PERMITTED_SECONDS = 5L
 private const val EVENT_LOOP_THREADS = 2
+private const val FLOW_WINDOW_BYTES = 262_144
 
 /** Creates the server that other daemons call, without starting it. The last of [interceptors] runs first. */
 internal fun innerServer(
@@ -26,7 +27,11 @@
         .channelType(NioServerSocketChannel::class.java)
         .bossEventLoopGroup(NioEventLoopGroup(1))
         .workerEventLoopGroup(NioEventLoopGroup(EVENT_LOOP_THREADS))
+        // Looking up the method of a call does not block, so it needs no thread of its own.
+        .directExecutor()
         .callExecutor(executors)
+        // A fixed window, because a window that adapts to the connection costs a ping for each request.
+        .flowControlWindow(FLOW_WINDOW_BYTES)
         .permitKeepAliveTime(KEEP_ALIVE_PERMITTED_SECONDS, TimeUnit.SECONDS)
         .permitKeepAliveWithoutCalls(true)
         .apply { interceptors.forEach(::intercept) }
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -33,9 +33,9 @@
 import org.endivestep.ingress.RerouteSettings
 import org.endivestep.ingress.RetryDelays
 import org.endivestep.ingress.Route
+import org.endivestep.ingress.RouteCache
 import org.endivestep.ingress.RoutedIngress
 import org.endivestep.ingress.WeightedChoice
-import org.endivestep.ingress.routes
 import org.endivestep.membership.DaemonDirectory
 import org.endivestep.membership.Gossip
 import org.endivestep.membership.GossipAction
@@ -56,6 +56,7 @@
 import org.endivestep.platform.readOperatorDocument
 import org.endivestep.platform.readinessEndpoint
 import org.endivestep.probe.StartupProbe
+import org.endivestep.protocol.AdmissionNotices
 import org.endivestep.protocol.ControlClient
 import org.endivestep.protocol.ControlServer
 import org.endivestep.protocol.ExchangeClient
@@ -133,7 +134,7 @@
     private val locality = Locality(settings.dataCentre, settings.dataCentres[settings.dataCentre].orEmpty())
     private val dispatcher =
         Dispatcher(
-            ::routesOf,
+            RouteCache(gossip::members, ::document, settings.vm)::routes,
             estimates,
             earliestCompletion(locality, estimates),
             RerouteSettings(MAX_REROUTES, REROUTE_MAX_QUEUE_WAIT_MS),
@@ -158,6 +159,7 @@
             retryDelays::delayMs,
             counters,
         ) { adoption.version.number }
+    private val admissionNotices = AdmissionNotices(::monotonicMs)
     private val innerServer =
         innerServer(
             inner,
@@ -198,6 +200,7 @@
         metrics.gauge("endivestep.log.lines.left.out", "Lines on requests that were not written, to keep their bound") {
             ingress.logLinesLeftOut
         }
+        admissionNotices.start()
         innerServer.start()
         gossip.start()
         operator.start()
@@ -233,11 +236,6 @@
 
     private fun callerLimits() = document()?.callers ?: defaultCallerLimits
 
-    private fun routesOf(service: ServiceName): List<Route> {
-        val current = document() ?: return emptyList()
-        return routes(gossip.members, current, service, settings.vm)
-    }
-
     private fun dispatch(call: IncomingCall, attempt: AttemptId): AttemptResult {
         val result = dispatcher.dispatch(call, attempt)
         if (result is AttemptResult.Answered) result.head.contentLength?.let { profiles.answered(call.kind.name, it) }
@@ -264,7 +262,7 @@
 
     private fun innerServices(): List<BindableService> =
         listOf(
-            ExchangeServer(egress, { gossip.self.incarnation }, pools.attemptRunners),
+            ExchangeServer(egress, { gossip.self.incarnation }, pools.attemptRunners, admissionNotices),
             ControlServer(gossip, adoption, counters, overrides::entries),
         )
 
--- a/endivestep/src/main/kotlin/org/endivestep/identity/Ids.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/identity/Ids.kt
@@ -1,6 +1,7 @@
 package org.endivestep.identity
 
 import java.security.SecureRandom
+import java.util.HexFormat
 
 /** Name of a service, as written in the configuration document. */
 @JvmInline
@@ -51,9 +52,14 @@
 private const val ID_BYTES = 12
 private val idRandom = SecureRandom()
 
+private val hexadecimal = HexFormat.of()
+
 /** Returns 24 random hexadecimal digits. */
 internal fun randomId(): String {
     val bytes = ByteArray(ID_BYTES)
     idRandom.nextBytes(bytes)
-    return bytes.joinToString("") { "%02x".format(it) }
+    return bytes.toHexadecimal()
 }
+
+/** Returns two lowercase hexadecimal digits for each byte. */
+internal fun ByteArray.toHexadecimal(): String = hexadecimal.formatHex(this)
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/IncomingCall.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/IncomingCall.kt
@@ -12,6 +12,7 @@
 import org.endivestep.identity.Fingerprint
 import org.endivestep.identity.RequestId
 import org.endivestep.identity.ServiceName
+import org.endivestep.identity.toHexadecimal
 import org.endivestep.outcome.HeaderField
 import org.endivestep.outcome.NotRunReason
 import org.endivestep.outcome.OutcomeHeaders
@@ -127,7 +128,7 @@
         is RequestBody.Streamed -> digest.update("${body.length}".toByteArray())
     }
     val bytes = digest.digest()
-    return Fingerprint(bytes.take(FINGERPRINT_BYTES).joinToString("") { "%02x".format(it) })
+    return Fingerprint(bytes.copyOf(FINGERPRINT_BYTES).toHexadecimal())
 }
 
 private const val FINGERPRINT_BYTES = 16
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
@@ -15,6 +15,7 @@
 import org.endivestep.identity.RequestId
 import org.endivestep.identity.ServiceName
 import org.endivestep.identity.randomId
+import org.endivestep.identity.toHexadecimal
 import org.endivestep.metrics.FinalOutcome
 import org.endivestep.metrics.OutcomeCounters
 import org.endivestep.metrics.OutcomeLabel
@@ -166,7 +167,7 @@
             is RequestBody.Inline -> digest.update(body.bytes)
             is RequestBody.Streamed -> digest.update("${body.length}".toByteArray())
         }
-        return Fingerprint(digest.digest().joinToString("") { "%02x".format(it) })
+        return Fingerprint(digest.digest().toHexadecimal())
     }
 
     private companion object {
--- a/endivestep/src/main/kotlin/org/endivestep/membership/Gossip.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/membership/Gossip.kt
@@ -97,7 +97,7 @@
     }
 
     private fun step() {
-        val event = queue.poll(POLL_MS)
+        val event = queue.poll(protocol.msUntilTick(clockMs()).coerceAtMost(MAX_POLL_MS))
         val nowMs = clockMs()
         if (event != null) perform(handle(event, nowMs))
         perform(protocol.tick(nowMs))
@@ -159,7 +159,7 @@
     private companion object {
         const val QUEUE_CAPACITY = 1_024
         const val MAX_DATAGRAM_BYTES = 65_507
-        const val POLL_MS = 50L
+        const val MAX_POLL_MS = 1_000L
         const val CLOSED_PAUSE_MS = 100L
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/membership/GossipProtocol.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/membership/GossipProtocol.kt
@@ -119,6 +119,12 @@
         return actions
     }
 
+    /** Returns the time in ms until [tick] has something to do, 0 when it is due. */
+    fun msUntilTick(nowMs: Long): Long {
+        val indirectMs = probes.values.filter { !it.indirect }.minOfOrNull { it.sentMs + settings.ackTimeoutMs } ?: Long.MAX_VALUE
+        return (minOf(nextPeriodMs, indirectMs) - nowMs).coerceAtLeast(0)
+    }
+
     /** Handles [message], received from [source]. */
     fun receive(message: GossipMessage, source: Address, nowMs: Long): List<GossipAction> {
         val actions = mutableListOf<GossipAction>()
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeClient.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeClient.kt
@@ -58,17 +58,20 @@
         sentMs: Long,
     ): AttemptResult {
         call.start(request.toHead(peer.incarnation, monotonicMs()), streamsBody = request.body is RequestBody.Streamed)
-        val first = call.next(admissionTimeoutMs(request))
-        val admitted = (first as? ReceiveResult.Frame)?.frame
-        if (admitted == null) return notAdmitted(peer, channel, call, request, sentMs, timedOut = first is ReceiveResult.TimedOut)
-        if (admitted.frameCase != AnswerFrame.FrameCase.ADMITTED) return notAnswered(call, admitted)
-        upload(call, request)
-        return awaitAnswer(peer, channel, call, request)
+        val answerTimeoutMs = request.deadline.remainingMs(monotonicMs()) + DEADLINE_GRACE_MS
+        val received = call.next(minOf(answerTimeoutMs, admitTimeoutMs))
+        val first = (received as? ReceiveResult.Frame)?.frame
+        return when {
+            first == null && received is ReceiveResult.TimedOut && answerTimeoutMs < admitTimeoutMs -> overdue(peer, channel, call, request, sentMs)
+            first == null -> notAdmitted(peer, channel, call, request, sentMs, timedOut = received is ReceiveResult.TimedOut)
+            first.frameCase != AnswerFrame.FrameCase.ADMITTED -> answerOf(call, request, first)
+            else -> {
+                upload(call, request)
+                awaitAnswer(peer, channel, call, request)
+            }
+        }
     }
 
-    private fun admissionTimeoutMs(request: AttemptRequest): Long =
-        minOf(request.deadline.remainingMs(monotonicMs()), admitTimeoutMs)
-
     private fun upload(call: ExchangeCall, request: AttemptRequest) {
         val body = request.body as? RequestBody.Streamed ?: return
         uploads.execute { call.upload(body.stream) }
@@ -124,6 +127,16 @@
         return AttemptResult.NotRun(reason, frame.notRun.load.toLoad(), frame.notRun.final)
     }
 
+    // No frame came before the deadline, which was so short that the notice of admission was not due.
+    private fun overdue(peer: Peer, channel: ManagedChannel, call: ExchangeCall, request: AttemptRequest, sentMs: Long): AttemptResult {
+        call.cancel("no answer before the deadline")
+        if (!call.wasSent) return AttemptResult.NotRun(NotRunReason.DAEMON_UNREACHABLE)
+        val state = fence(peer, channel, request.attemptId.text, sentMs)
+        if (state == null) channels.retire(peer.address, channel)
+        val isFenced = state == FenceAnswer.State.NEVER_STARTED
+        return if (isFenced) AttemptResult.NotRun(NotRunReason.FENCED) else AttemptResult.Unknown(UnknownReason.TIMEOUT)
+    }
+
     private fun notAdmitted(
         peer: Peer,
         channel: ManagedChannel,
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeServer.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeServer.kt
@@ -20,13 +20,14 @@
     private val egress: Egress,
     private val incarnation: () -> DaemonIncarnation,
     private val runners: Executor,
+    private val notices: AdmissionNotices,
 ) : ExchangesGrpc.ExchangesImplBase() {
     override fun exchange(responseObserver: StreamObserver<AnswerFrame>): StreamObserver<RequestFrame> {
         val stream = responseObserver as ServerCallStreamObserver<AnswerFrame>
         stream.disableAutoRequest()
         val inbox = FrameInbox<RequestFrame> { stream.request(1) }
         val gate = SendGate { stream.isReady || stream.isCancelled }
-        val run = ServedExchange(stream, inbox, gate, egress, incarnation)
+        val run = ServedExchange(stream, inbox, gate, egress, incarnation, notices)
         stream.setOnReadyHandler(gate::signal)
         stream.setOnCancelHandler {
             gate.fail("the calling daemon cancelled the exchange")
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/PeerAuthentication.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/PeerAuthentication.kt
@@ -14,11 +14,12 @@
 import java.security.MessageDigest
 import javax.crypto.Mac
 import javax.crypto.spec.SecretKeySpec
+import org.endivestep.identity.toHexadecimal
 
 /** Authenticates calls and datagrams between daemons by a shared secret. Thread-safe. */
 internal class PeerAuthentication(secret: String) {
     private val key = SecretKeySpec(secret.toByteArray(), ALGORITHM)
-    private val token = sign(TOKEN_PURPOSE.toByteArray()).joinToString("") { "%02x".format(it) }
+    private val token = sign(TOKEN_PURPOSE.toByteArray()).toHexadecimal()
 
     /** Returns the HMAC-SHA256 of [payload]. */
     fun sign(payload: ByteArray): ByteArray {
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ServedExchange.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ServedExchange.kt
@@ -35,9 +35,14 @@
     private val gate: SendGate,
     private val egress: Egress,
     private val incarnation: () -> DaemonIncarnation,
-) {
+    private val notices: AdmissionNotices,
+) : PendingNotice {
+    override val arrivedMs = monotonicMs()
+
     @Volatile
     private var runner: Thread? = null
+    private val noticeLock = Any()
+    private var noticeIsNeeded = true
 
     /** Interrupts the attempt, because its answer is no longer needed. */
     fun cancel() {
@@ -67,10 +72,25 @@
             finish(AttemptResult.NotRun(NotRunReason.OTHER_INCARNATION), head)
             return
         }
-        finish(egress.run(request(head)) { send(admitted()) }, head)
+        finish(egress.run(request(head)) { admitted(head) }, head)
+    }
+
+    // A caller waits for the notice before it sends a streamed body.
+    private fun admitted(head: RequestHead) {
+        if (stream.isCancelled) throw IOException("the calling daemon cancelled the exchange")
+        if (head.streamedBody) sendNotice() else notices.admitted(this)
+    }
+
+    override fun sendNotice() {
+        synchronized(noticeLock) {
+            if (!noticeIsNeeded) return
+            noticeIsNeeded = false
+            if (!stream.isCancelled) stream.onNext(admittedFrame)
+        }
     }
 
     private fun finish(result: AttemptResult, head: RequestHead) {
+        synchronized(noticeLock) { noticeIsNeeded = false }
         val frame = AnswerFrame.newBuilder()
         when (result) {
             is AttemptResult.NotRun -> send(frame.setNotRun(result.toWire()).build())
@@ -135,8 +155,6 @@
             else -> BodyFrame.Failed("unexpected frame ${frame.frameCase}")
         }
 
-    private fun admitted(): AnswerFrame = AnswerFrame.newBuilder().setAdmitted(Admitted.getDefaultInstance()).build()
-
     private fun send(frame: AnswerFrame) {
         gate.await(BODY_IDLE_TIMEOUT_MS)
         if (stream.isCancelled) throw IOException("the calling daemon cancelled the exchange")
@@ -150,6 +168,7 @@
     }
 
     private companion object {
+        val admittedFrame: AnswerFrame = AnswerFrame.newBuilder().setAdmitted(Admitted.getDefaultInstance()).build()
         const val HEAD_TIMEOUT_MS = 5_000L
         const val MAX_INLINE_ANSWER_BYTES = 16_384L
     }
--- a/endivestep/src/test/kotlin/org/endivestep/protocol/ExchangeWireTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/protocol/ExchangeWireTest.kt
@@ -10,12 +10,14 @@
 import io.grpc.netty.NettyServerBuilder
 import io.grpc.stub.StreamObserver
 import io.kotest.assertions.throwables.shouldThrow
+import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import org.endivestep.document.MAX_QUEUE_WAIT_MS
 import org.endivestep.egress.LocalWorker
+import org.endivestep.egress.WorkerCall
 import org.endivestep.egress.WorkerResult
 import org.endivestep.exchange.RequestBody
 import org.endivestep.exchange.monotonicMs
@@ -49,6 +51,7 @@
 
     /** Number of exchanges whose headers were received by the server. */
     val exchanges = AtomicInteger()
+    private val notices = AdmissionNotices(::monotonicMs, noticeAgeMs = ADMIT_TIMEOUT_MS / 3).also { it.start() }
     private val server: Server =
         NettyServerBuilder
             .forAddress(InetSocketAddress("127.0.0.1", 0))
@@ -66,22 +69,24 @@
                 },
             )
             .callExecutor(callExecutorSupplier(threads))
-            .addService(ExchangeServer(fixture.egress, { incarnation }, threads))
+            .addService(ExchangeServer(fixture.egress, { incarnation }, threads, notices))
             .build()
             .start()
     val proxy = TcpProxy(server.port)
     val channels = PeerChannels(PeerAuthentication(secret))
-    val client = ExchangeClient(channels, threads, admitTimeoutMs = 400)
+    val client = ExchangeClient(channels, threads, admitTimeoutMs = ADMIT_TIMEOUT_MS)
     val peer = Peer(Address("127.0.0.1", proxy.port), incarnation)
 
     override fun close() {
         channels.close()
+        notices.stop()
         server.shutdownNow()
         proxy.close()
         threads.shutdownNow()
     }
 
     companion object {
+        const val ADMIT_TIMEOUT_MS = 400L
         val incarnation = DaemonIncarnation("1-run")
     }
 }
@@ -110,6 +115,37 @@
 
 class ExchangeWireTest :
     FunSpec({
+        test("a request ends with the outcome that its worker's time, its deadline and the notice of admission allow") {
+            class Case(val name: String, val workMs: Long, val deadlineMs: Long, val expected: String)
+            val timeoutMs = WireFixture.ADMIT_TIMEOUT_MS
+            listOf(
+                Case("an answer before the notice", workMs = 0, deadlineMs = 5_000, "answered"),
+                Case("an answer after the notice", workMs = timeoutMs * 2, deadlineMs = 5_000, "answered"),
+                Case("no answer before a deadline that ends before the notice", workMs = 2_000, deadlineMs = 40, "unknown TIMEOUT"),
+                Case("no answer before a deadline that ends after the notice", workMs = 5_000, deadlineMs = timeoutMs * 2, "unknown TIMEOUT"),
+            ).forEach { case ->
+                val worker: WorkerCall = { local, request ->
+                    Thread.sleep(case.workMs)
+                    answering()(local, request)
+                }
+                WireFixture(EgressFixture(worker = worker)).use { wire ->
+                    // Connected first, so that a short deadline is not spent on connecting.
+                    wire.client.attempt(wire.peer, sampleAttempt("first", remainingMs = 10_000)).let { (it as? AttemptResult.Answered)?.body?.close() }
+                    val channel = wire.channels.next(wire.peer)
+                    val result = wire.client.attempt(wire.peer, sampleAttempt("second", remainingMs = case.deadlineMs))
+                    withClue(case.name) {
+                        when (result) {
+                            is AttemptResult.Answered -> "answered"
+                            is AttemptResult.Unknown -> "unknown ${result.reason}"
+                            is AttemptResult.NotRun -> "not run ${result.reason}"
+                        } shouldBe case.expected
+                        // A peer that answers fences keeps its connections.
+                        listOf(wire.channels.next(wire.peer), wire.channels.next(wire.peer)).any { it === channel } shouldBe true
+                    }
+                }
+            }
+        }
+
         test("a call that may still be transmitted counts as sent") {
             WireFixture(EgressFixture(worker = answering())).use { wire ->
                 val release = CountDownLatch(1)
--- a/endivestep/src/test/kotlin/org/endivestep/protocol/PeerRestartTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/protocol/PeerRestartTest.kt
@@ -34,6 +34,7 @@
     val threads = Executors.newCachedThreadPool()
     private val servers = mutableListOf<Server>()
     private val channels = PeerChannels(PeerAuthentication(SECRET))
+    private val notices = AdmissionNotices(::monotonicMs).also { it.start() }
     val client = ExchangeClient(channels, threads)
 
     fun start(port: Int, fixture: EgressFixture, run: DaemonIncarnation): Int {
@@ -42,7 +43,7 @@
                 .forAddress(InetSocketAddress("127.0.0.1", port))
                 .intercept(PeerAuthentication(SECRET).serverInterceptor { })
                 .callExecutor(callExecutorSupplier(threads))
-                .addService(ExchangeServer(fixture.egress, { run }, threads))
+                .addService(ExchangeServer(fixture.egress, { run }, threads, notices))
                 .build()
                 .start()
         servers += server
@@ -51,6 +52,7 @@
 
     override fun close() {
         channels.close()
+        notices.stop()
         servers.forEach { it.shutdownNow() }
         threads.shutdownNow()
     }
