Spend less processor time on a request and a start, and weigh distance by a request's objective

Cause: interpreted samples of two daemons showed a fifth of the ingress in String.format for hexadecimal digits, and half of both in the crossing: a notice of admission for each request, a ping for each answer by the adaptive window of the server, a thread for the lookup of each call's method, two groups of event loops beside the caller's one. Routes were computed twice for each attempt. Gossip woke 20 times a second.

Lists of the store may be old, since a watch follows. The cost of a crossing grows with the objective of the request, so that a slow kind crosses zones for large gains only.

Ruled out: another transport for the crossing. It would save more, but the house style asks for gRPC.

Tests: ExchangeWireTest (outcome by work, deadline and notice), CollectionFollowerTest, CompletionEstimatesTest.

--- a/endivestep/src/main/kotlin/org/endivestep/choice/CompletionEstimates.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/choice/CompletionEstimates.kt
@@ -110,19 +110,24 @@
 internal fun earliestCompletion(locality: Locality, estimates: CompletionEstimates): ChoicePolicy =
     { request, candidates ->
         val kilobytes = (request.bytes + estimates.usualAnswerBytes(request.kind)) / BYTES_PER_KILOBYTE
-        candidates.shuffled().minBy { estimates.expectedMs(it.vm, request.kind) + distanceMs(locality, it, kilobytes) }
+        candidates.shuffled().minBy { estimates.expectedMs(it.vm, request.kind) + distanceMs(locality, it, kilobytes, request.objectiveMs) }
     }
 
 private const val BYTES_PER_KILOBYTE = 1_024.0
 
-// Traffic between data centres is charged by the byte; the heads of a request and its answer are about one kilobyte together.
-private const val COST_MS_PER_KILOBYTE = 12.0
+// Traffic between data centres is charged by the byte. The same bytes are worth more time to a request that has more time until
+// its answer is late: a kilobyte is worth a fortieth of its objective, and at least 12 ms.
+private const val OBJECTIVE_PER_KILOBYTE = 1.0 / 40
+private const val MIN_COST_MS_PER_KILOBYTE = 12.0
+
+// The heads of a request and its answer are about one kilobyte together.
 private const val HEAD_KILOBYTES = 1.0
 private const val OTHER_REGION_MS = 1_000.0
 
-private fun distanceMs(from: Locality, candidate: Candidate, kilobytes: Double): Double =
+private fun distanceMs(from: Locality, candidate: Candidate, kilobytes: Double, objectiveMs: Long): Double =
     when {
         candidate.dataCentre == from.dataCentre -> 0.0
-        candidate.region == from.region -> (kilobytes + HEAD_KILOBYTES) * COST_MS_PER_KILOBYTE
+        candidate.region == from.region -> (kilobytes + HEAD_KILOBYTES) *
+            maxOf(objectiveMs * OBJECTIVE_PER_KILOBYTE, MIN_COST_MS_PER_KILOBYTE)
         else -> OTHER_REGION_MS
     }
--- a/endivestep/src/main/kotlin/org/endivestep/choice/WorkerChoice.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/choice/WorkerChoice.kt
@@ -15,8 +15,10 @@
 /** Chooses one of the candidates; the list is never empty. */
 internal typealias ChoicePolicy = (request: RequestTraits, candidates: List<Candidate>) -> Candidate
 
-/** Properties of a request that a choice depends on: its [kind] and the size of its body in [bytes]. */
-internal data class RequestTraits(val kind: KindName, val bytes: Long = 0)
+/** Properties of a request that a choice depends on: its [kind], the size of its body in [bytes], and within which time it should be answered. */
+internal data class RequestTraits(val kind: KindName, val bytes: Long = 0, val objectiveMs: Long = USUAL_OBJECTIVE_MS)
+
+private const val USUAL_OBJECTIVE_MS = 500L
 
 /**
  * One ingress daemon's view of the load of workers: its own requests in flight, the load reported
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/InnerServer.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/InnerServer.kt
@@ -5,6 +5,7 @@
 import io.grpc.ServerCallExecutorSupplier
 import io.grpc.ServerInterceptor
 import io.grpc.netty.NettyServerBuilder
+import io.netty.channel.EventLoopGroup
 import io.netty.channel.nio.NioEventLoopGroup
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import org.endivestep.settings.Address
@@ -21,12 +22,13 @@
     interceptors: List<ServerInterceptor>,
     executors: ServerCallExecutorSupplier,
     services: List<BindableService>,
+    loops: EventLoopGroup = NioEventLoopGroup(EVENT_LOOP_THREADS),
 ): Server =
     NettyServerBuilder
         .forAddress(InetSocketAddress(address.host, address.port))
         .channelType(NioServerSocketChannel::class.java)
-        .bossEventLoopGroup(NioEventLoopGroup(1))
-        .workerEventLoopGroup(NioEventLoopGroup(EVENT_LOOP_THREADS))
+        .bossEventLoopGroup(loops)
+        .workerEventLoopGroup(loops)
         // Looking up the method of a call does not block, so it needs no thread of its own.
         .directExecutor()
         .callExecutor(executors)
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -25,7 +25,6 @@
 import org.endivestep.exchange.monotonicMs
 import org.endivestep.http.HttpConnectionPool
 import org.endivestep.identity.AttemptId
-import org.endivestep.identity.ServiceName
 import org.endivestep.identity.randomId
 import org.endivestep.ingress.Dispatcher
 import org.endivestep.ingress.IncomingCall
@@ -83,7 +82,9 @@
 private const val STORE_TIMEOUT_MS = 1_000L
 private const val CONNECT_TIMEOUT_MS = 500
 private const val HEALTH_TIMEOUT_MS = 500L
-private const val EVENT_LOOP_THREADS = 2
+
+// A VM gives its daemon less than one core, so more threads would only cost more changes between them.
+private const val EVENT_LOOP_THREADS = 1
 
 /** A daemon on the platform: connects its components to the message formats and the store of the platform. */
 internal class PlatformDaemon(private val settings: PlatformSettings) {
@@ -117,7 +118,7 @@
             platformAnswerInterpreter,
             call = nettyWorkerCall(connections, platformHeaders),
         )
-    private val channels = PeerChannels(security)
+    private val channels = PeerChannels(security, loops)
     private val exchanges = ExchangeClient(channels, pools.uploads)
     private val control = ControlClient(channels)
     private val protocol = GossipProtocol(initialMemberInfo(), random, overrides = overrides::entries) { adoption.version }
@@ -166,6 +167,7 @@
             listOf(senderInterceptor(senders), security.serverInterceptor { }),
             callExecutorSupplier(pools.transport),
             innerServices(),
+            loops,
         )
     private val callers = NettyCallerServer(settings.callers, loops, pools.callers, ::callerLimits, ingress::answer, ingress::mayOverlap)
     private val readiness =
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
@@ -86,7 +86,12 @@
         if (routes.isEmpty()) return null
         val chosen: Candidate =
             synchronized(loads) {
-                choose(RequestTraits(call.kind.name, call.bodyBytes), routes.map { it.candidate }).also { loads.begin(it.vm) }
+                choose(
+                    RequestTraits(call.kind.name, call.bodyBytes, call.kind.deadlineMs),
+                    routes.map {
+                        it.candidate
+                    },
+                ).also { loads.begin(it.vm) }
             }
         return routes.first { it.candidate == chosen }
     }
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeClient.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeClient.kt
@@ -62,7 +62,13 @@
         val received = call.next(minOf(answerTimeoutMs, admitTimeoutMs))
         val first = (received as? ReceiveResult.Frame)?.frame
         return when {
-            first == null && received is ReceiveResult.TimedOut && answerTimeoutMs < admitTimeoutMs -> overdue(peer, channel, call, request, sentMs)
+            first == null && received is ReceiveResult.TimedOut && answerTimeoutMs < admitTimeoutMs -> overdue(
+                peer,
+                channel,
+                call,
+                request,
+                sentMs,
+            )
             first == null -> notAdmitted(peer, channel, call, request, sentMs, timedOut = received is ReceiveResult.TimedOut)
             first.frameCase != AnswerFrame.FrameCase.ADMITTED -> answerOf(call, request, first)
             else -> {
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/PeerAuthentication.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/PeerAuthentication.kt
@@ -11,10 +11,10 @@
 import io.grpc.ServerCallHandler
 import io.grpc.ServerInterceptor
 import io.grpc.Status
+import org.endivestep.identity.toHexadecimal
 import java.security.MessageDigest
 import javax.crypto.Mac
 import javax.crypto.spec.SecretKeySpec
-import org.endivestep.identity.toHexadecimal
 
 /** Authenticates calls and datagrams between daemons by a shared secret. Thread-safe. */
 internal class PeerAuthentication(secret: String) {
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/PeerChannels.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/PeerChannels.kt
@@ -19,10 +19,12 @@
 /**
  * Connections to other daemons: two per peer, so that an unresponsive connection does not block the peer.
  *
- * Connections are opened on first use and closed when idle. Thread-safe.
+ * Connections are opened on first use, served by [loops], and closed when idle. Thread-safe.
  */
-internal class PeerChannels(private val security: PeerAuthentication) {
-    private val loops: EventLoopGroup = NioEventLoopGroup(EVENT_LOOP_THREADS)
+internal class PeerChannels(
+    private val security: PeerAuthentication,
+    private val loops: EventLoopGroup = NioEventLoopGroup(EVENT_LOOP_THREADS),
+) {
     private val peers = ConcurrentHashMap<Address, ChannelPair>()
 
     private inner class ChannelPair(val address: Address) {
@@ -83,7 +85,7 @@
     /** Removes all peers except [known]; calls in progress may still complete. */
     fun retain(known: Set<Address>) = peers.keys.filterNot { it in known }.forEach { peers.remove(it)?.shutdown() }
 
-    /** Cancels all calls and closes all connections. */
+    /** Cancels all calls, closes all connections and stops the event loops. */
     fun close() {
         peers.values.forEach { it.shutdownNow() }
         peers.clear()
--- a/endivestep/src/main/kotlin/org/endivestep/store/CollectionFollower.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/store/CollectionFollower.kt
@@ -14,7 +14,12 @@
     val onChanged: (CollectionEvent) -> Unit,
 )
 
-/** Follows one collection: lists it, then watches for changes, and lists it again when the store no longer has the changes since then. */
+/**
+ * Follows one collection: lists it, then watches for changes, and lists it again when the store no longer has the changes since then.
+ *
+ * A list may be old, which costs the store less: the watch that follows returns at once what has changed since. Only when
+ * the store no longer has those changes must the next list be current.
+ */
 internal class CollectionFollower(
     private val store: ObjectCollections,
     private val collection: CollectionName,
@@ -24,6 +29,7 @@
 ) {
     private val backoff = ExponentialBackoff(FIRST_PAUSE_MS, MAX_PAUSE_MS, random)
     private var known: StoreRevision? = null
+    private var historyIsGone = false
     private var loop: BackgroundLoop? = null
 
     /** Whether the last call to the store was answered. */
@@ -46,7 +52,7 @@
     }
 
     private fun list() {
-        when (val listed = store.list(collection, allowStale = false)) {
+        when (val listed = store.list(collection, allowStale = !historyIsGone)) {
             is ListedCollection.Items -> {
                 answered()
                 listener.onListed(listed)
@@ -61,6 +67,7 @@
             is WatchedCollection.Events -> {
                 answered()
                 backoff.reset()
+                historyIsGone = false
                 watched.events.forEach(listener.onChanged)
                 known = watched.revision
                 // Prevents a busy loop when the store answers watches immediately without changes.
@@ -69,6 +76,7 @@
             WatchedCollection.HistoryGone -> {
                 logger.info { "the store no longer has the changes of ${collection.text} since revision ${since.number}; listing it again" }
                 known = null
+                historyIsGone = true
                 pause(backoff.nextDelayMs())
             }
             is WatchedCollection.Unavailable -> failed(watched.cause)
@@ -88,7 +96,7 @@
     }
 
     private companion object {
-        const val WATCH_MS = 25_000L
+        const val WATCH_MS = 30_000L
         const val FIRST_PAUSE_MS = 100L
         const val MAX_PAUSE_MS = 1_600L
         const val EMPTY_PAUSE_MS = 50L
--- a/endivestep/src/test/kotlin/org/endivestep/choice/CompletionEstimatesTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/choice/CompletionEstimatesTest.kt
@@ -94,6 +94,28 @@
             }
         }
 
+        test("a request with more time until its answer is late waits longer before it crosses to another data centre") {
+            class Case(val objectiveMs: Long, val bytes: Long, val waiting: Int, val chosen: String)
+            val here = Locality(DataCentreName("near"), "region")
+            val near = Candidate(VmName("near"), DataCentreName("near"), "region")
+            val far = Candidate(VmName("far"), DataCentreName("far"), "region")
+            listOf(
+                Case(objectiveMs = 80, bytes = 1_000, waiting = 14, chosen = "far"),
+                Case(objectiveMs = 500, bytes = 1_000, waiting = 14, chosen = "far"),
+                Case(objectiveMs = 8_000, bytes = 1_000, waiting = 14, chosen = "near"),
+                Case(objectiveMs = 8_000, bytes = 1_000, waiting = 140, chosen = "far"),
+                Case(objectiveMs = 500, bytes = 20_000, waiting = 14, chosen = "near"),
+            ).forEach { case ->
+                val estimates = CompletionEstimates(KindProfiles().also { it.observed(read, USUAL_MS) }) { 0 }
+                estimates.report(near.vm, Load(14, 14, case.waiting, 100))
+                estimates.report(far.vm, Load(0, 14, 0, 100))
+                val request = RequestTraits(read, case.bytes, case.objectiveMs)
+                io.kotest.assertions.withClue("${case.objectiveMs} ms, ${case.bytes} bytes, ${case.waiting} waiting") {
+                    earliestCompletion(here, estimates)(request, listOf(near, far)).vm.text shouldBe case.chosen
+                }
+            }
+        }
+
         test("a full worker without new reports is tried again") {
             val here = Locality(DataCentreName("near"), "region")
             val near = Candidate(VmName("near"), DataCentreName("near"), "region")
--- a/endivestep/src/test/kotlin/org/endivestep/protocol/ExchangeWireTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/protocol/ExchangeWireTest.kt
@@ -122,7 +122,12 @@
                 Case("an answer before the notice", workMs = 0, deadlineMs = 5_000, "answered"),
                 Case("an answer after the notice", workMs = timeoutMs * 2, deadlineMs = 5_000, "answered"),
                 Case("no answer before a deadline that ends before the notice", workMs = 2_000, deadlineMs = 40, "unknown TIMEOUT"),
-                Case("no answer before a deadline that ends after the notice", workMs = 5_000, deadlineMs = timeoutMs * 2, "unknown TIMEOUT"),
+                Case(
+                    "no answer before a deadline that ends after the notice",
+                    workMs = 5_000,
+                    deadlineMs = timeoutMs * 2,
+                    "unknown TIMEOUT",
+                ),
             ).forEach { case ->
                 val worker: WorkerCall = { local, request ->
                     Thread.sleep(case.workMs)
@@ -130,7 +135,9 @@
                 }
                 WireFixture(EgressFixture(worker = worker)).use { wire ->
                     // Connected first, so that a short deadline is not spent on connecting.
-                    wire.client.attempt(wire.peer, sampleAttempt("first", remainingMs = 10_000)).let { (it as? AttemptResult.Answered)?.body?.close() }
+                    wire.client.attempt(wire.peer, sampleAttempt("first", remainingMs = 10_000)).let {
+                        (it as? AttemptResult.Answered)?.body?.close()
+                    }
                     val channel = wire.channels.next(wire.peer)
                     val result = wire.client.attempt(wire.peer, sampleAttempt("second", remainingMs = case.deadlineMs))
                     withClue(case.name) {
--- a/endivestep/src/test/kotlin/org/endivestep/store/CollectionFollowerTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/store/CollectionFollowerTest.kt
@@ -10,8 +10,13 @@
 private class ScriptedCollections(private val listed: () -> ListedCollection, private val watched: (StoreRevision) -> WatchedCollection) :
     ObjectCollections {
     var calls = 0
+    val staleLists = mutableListOf<Boolean>()
 
-    override fun list(collection: CollectionName, allowStale: Boolean): ListedCollection = listed().also { calls++ }
+    override fun list(collection: CollectionName, allowStale: Boolean): ListedCollection =
+        listed().also {
+            calls++
+            staleLists += allowStale
+        }
 
     override fun watch(collection: CollectionName, since: StoreRevision, timeoutMs: Long): WatchedCollection = watched(since).also {
         calls++
@@ -63,4 +68,29 @@
             repeat(5) { follower.step() }
             seen shouldBe listOf("list", "second", "list", "deleted")
         }
+
+        test("a list may be old unless the changes since an old one were gone") {
+            val events = WatchedCollection.Events(emptyList(), StoreRevision(8))
+            class Case(val name: String, val watched: List<WatchedCollection>, val staleLists: List<Boolean>)
+            listOf(
+                Case("a first list", listOf(events), listOf(true)),
+                Case("a list after the history was gone", listOf(WatchedCollection.HistoryGone, events), listOf(true, false)),
+                Case(
+                    "a list after the history was gone twice",
+                    listOf(WatchedCollection.HistoryGone, WatchedCollection.HistoryGone, events),
+                    listOf(true, false, false),
+                ),
+                Case(
+                    "a list after a watch in between",
+                    listOf(WatchedCollection.HistoryGone, events, WatchedCollection.HistoryGone, events),
+                    listOf(true, false, false),
+                ),
+            ).forEach { case ->
+                val script = ArrayDeque(case.watched)
+                val store = ScriptedCollections({ none }, { script.removeFirst() })
+                val follower = CollectionFollower(store, CollectionName("config"), SplittableRandom(1), CollectionListener({ }, { })) { }
+                while (script.isNotEmpty()) follower.step()
+                withClue(case.name) { store.staleLists shouldBe case.staleLists }
+            }
+        }
     })
