Keep the limit of cold workers whatever arrives first, and refresh watches when the store returns

Cause, from the code: a worker that reports that it is cold before the first document was never limited until its next heartbeat, and a document served requests before the limits of its services were applied; a daemon that starts knows nothing of what its earlier run sent. After a silent outage every watch stays silent until it times out.

Change: ColdPeriod computes the limit whenever the report or the document arrives, before either opens the worker; the rate limiter holds the first window after a start. Weighed: shorter watches cost every daemon calls; a check of the connection does not see a silent application.

--- a/endivestep/src/main/kotlin/org/endivestep/admission/AdmissionQueue.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/admission/AdmissionQueue.kt
@@ -47,7 +47,7 @@
     }
 
     private val limit = AdmissionLimit(settings)
-    private val coldRateLimiter = ColdRateLimiter()
+    private val coldRateLimiter = ColdRateLimiter(clockMs())
     private val waiting = WaitingQueue<Waiter>()
     private var exclusiveRunning = false
     private var largeAnswersRunning = 0
--- /dev/null
+++ b/endivestep/src/main/kotlin/org/endivestep/admission/ColdPeriod.kt
@@ -0,0 +1,38 @@
+package org.endivestep.admission
+
+import org.endivestep.document.Document
+import org.endivestep.identity.ServiceName
+
+/**
+ * Time for which the local worker is cold, as it last reported, and the limit that follows from it.
+ *
+ * A worker may report that it is cold before the first document tells the rate that it bears, and the rate may change
+ * while it is cold, so the limit is computed from the two whenever one of them arrives. Times are in ms of [clockMs].
+ * Thread-safe.
+ */
+internal class ColdPeriod(private val admission: AdmissionQueue, private val clockMs: () -> Long) {
+    private class Report(val service: ServiceName, val untilMs: Long)
+
+    private var latest: Report? = null
+    private var document: Document? = null
+
+    /** Records that the worker of [service] is cold for another [coldMs]; to be called before its requests are admitted. */
+    @Synchronized
+    fun report(service: ServiceName, coldMs: Long) {
+        latest = Report(service, clockMs() + coldMs)
+        apply()
+    }
+
+    /** Takes the rates of cold workers from [document]; to be called before requests are served by it. */
+    @Synchronized
+    fun configure(document: Document) {
+        this.document = document
+        apply()
+    }
+
+    private fun apply() {
+        val report = latest ?: return
+        val rate = document?.services?.get(report.service)?.coldRate ?: return
+        admission.coldFor((report.untilMs - clockMs()).coerceAtLeast(0), rate.perSecond)
+    }
+}
--- a/endivestep/src/main/kotlin/org/endivestep/admission/ColdRateLimiter.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/admission/ColdRateLimiter.kt
@@ -4,9 +4,11 @@
  * Sliding-window rate limiter: bounds the requests that a cold worker receives in any [WINDOW_MS].
  *
  * Requests that are sent while the worker is warm count as well, because the worker may turn cold at
- * any moment. Times are in ms. Not thread-safe.
+ * any moment. What an earlier run of this daemon sent before [startedMs] is not known, so a cold worker receives
+ * nothing until a window has passed since then. Times are in ms. Not thread-safe.
  */
-internal class ColdRateLimiter {
+internal class ColdRateLimiter(startedMs: Long = NO_EARLIER_RUN) {
+    private val unknownUntilMs = startedMs + WINDOW_MS
     private val sentMs = ArrayDeque<Long>()
     private var coldUntilMs = 0L
     private var maxPerWindow = Int.MAX_VALUE
@@ -22,6 +24,7 @@
     /** Returns the time until a request may be sent, 0 when it may be sent now. */
     fun delayMs(nowMs: Long): Long {
         if (!isCold(nowMs)) return 0
+        if (nowMs < unknownUntilMs) return minOf(unknownUntilMs, coldUntilMs) - nowMs
         dropOld(nowMs)
         if (sentMs.size < maxPerWindow) return 0
         return minOf(sentMs[sentMs.size - maxPerWindow] + WINDOW_MS, coldUntilMs) - nowMs
@@ -37,6 +40,9 @@
     }
 
     private companion object {
+        /** Start time of a limiter that no earlier run of the daemon can have preceded. */
+        const val NO_EARLIER_RUN = Long.MIN_VALUE / 2
+
         // Longer than a second, because a request may take some ms to reach the worker.
         const val WINDOW_MS = 1_050L
     }
--- a/endivestep/src/main/kotlin/org/endivestep/choice/WorkerChoice.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/choice/WorkerChoice.kt
@@ -15,7 +15,10 @@
 /** Chooses one of the candidates; the list is never empty. */
 internal typealias ChoicePolicy = (request: RequestTraits, candidates: List<Candidate>) -> Candidate
 
-/** Properties of a request that a choice depends on: its [kind], the size of its body in [bytes], and within which time it should be answered. */
+/**
+ * Properties of a request that a choice depends on: its [kind], the size of its body in [bytes], and the time in ms
+ * within which it should be answered.
+ */
 internal data class RequestTraits(val kind: KindName, val bytes: Long = 0, val objectiveMs: Long = USUAL_OBJECTIVE_MS)
 
 private const val USUAL_OBJECTIVE_MS = 500L
--- a/endivestep/src/main/kotlin/org/endivestep/concurrent/BackgroundLoop.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/concurrent/BackgroundLoop.kt
@@ -13,6 +13,9 @@
         thread.interrupt()
     }
 
+    /** Interrupts the current step, which must handle it; the loop continues. */
+    fun interrupt() = thread.interrupt()
+
     companion object {
         private const val PAUSE_AFTER_FAILURE_MS = 200L
 
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/ConfigurationApplier.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/ConfigurationApplier.kt
@@ -22,9 +22,10 @@
     private var inService = false
 
     fun adopted(configuration: ActiveConfiguration) {
-        overrides.adopted(configuration)
         synchronized(quarantine) { quarantine.configure(configuration.document.quarantine) }
+        // The limits come first: from the next step on, requests are served by the new document.
         supervisor.configure(configuration.document)
+        overrides.adopted(configuration)
         applyState()
     }
 
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/HeartbeatReceiver.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/HeartbeatReceiver.kt
@@ -36,9 +36,9 @@
         val known = workers.worker?.announcement
         val slots = if (heartbeat.service == null) known?.capacity?.slots ?: 0 else heartbeat.slots
         val startedMs = if (heartbeat.startedMs == 0L) known?.capacity?.startedMs ?: 0 else heartbeat.startedMs
+        supervisor.markCold(service, heartbeat.coldMs)
         supervisor.announce(
             Announcement(service, address, heartbeat.incarnation, heartbeat.leaving, WorkerCapacity(slots, startedMs)),
         )
-        supervisor.markCold(heartbeat.coldMs)
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/OperatorObjectsFollower.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/OperatorObjectsFollower.kt
@@ -53,6 +53,12 @@
         dataCentreStates.start()
     }
 
+    /** Reads both collections again, because the watches that are in progress may be silent for good. */
+    fun refresh() {
+        configurations.refresh()
+        dataCentreStates.refresh()
+    }
+
     private fun offer(item: CollectionItem) {
         if (item.name != OperatorObjects.CONFIGURATION_NAME) return
         val version = versionOf(item.text)
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -41,10 +41,13 @@
 import org.endivestep.membership.GossipProtocol
 import org.endivestep.membership.MemberInfo
 import org.endivestep.membership.MemberState
+import org.endivestep.membership.SharedTask
+import org.endivestep.membership.assignedMembers
 import org.endivestep.membership.newDaemonIncarnation
 import org.endivestep.metrics.DaemonMetrics
 import org.endivestep.metrics.OutcomeCounters
 import org.endivestep.outcome.AttemptResult
+import org.endivestep.platform.OperatorObjects
 import org.endivestep.platform.PlatformSettings
 import org.endivestep.platform.healthCall
 import org.endivestep.platform.heartbeatEndpoint
@@ -71,6 +74,8 @@
 import org.endivestep.protocol.toInfo
 import org.endivestep.quarantine.Quarantine
 import org.endivestep.settings.Address
+import org.endivestep.store.CollectionName
+import org.endivestep.store.StoreReturnDetector
 import java.net.DatagramSocket
 import java.net.InetAddress
 import java.util.random.RandomGenerator
@@ -129,6 +134,8 @@
     private val fetcher = ConfigurationFetcher(adoption, control::fetchConfiguration, adoption::offerAndLog)
     private val directory = DaemonDirectory(store, gossip, random, ::synchronizeWith)
     private val operator = OperatorObjectsFollower(store, random, adoption, overrides)
+    private val storeReturn =
+        StoreReturnDetector(store, CollectionName(OperatorObjects.DATA_CENTRES_OUT), ::checksStore, operator::refresh)
     private val heartbeatReceiver = HeartbeatReceiver(settings.service, settings.worker, workers, supervisor)
     private val retryDelays = RetryDelays(profiles, random)
     private val estimates = CompletionEstimates(profiles, ::monotonicMs)
@@ -206,6 +213,7 @@
         innerServer.start()
         gossip.start()
         operator.start()
+        storeReturn.start()
         directory.start()
         fetcher.start()
         admission.onLoad = notices::onLoadChanged
@@ -232,6 +240,11 @@
         logger.info { "the settings file was read again" }
     }
 
+    private fun checksStore(): Boolean {
+        val alive = gossip.members.filter { it.state == MemberState.ALIVE && it.dataCentre == settings.dataCentre }
+        return settings.vm in assignedMembers(alive.map { it.vm }, SharedTask.STORE_CHECK, STORE_CHECKS_PER_DATA_CENTRE)
+    }
+
     private fun isReady(): Boolean = !stopping && adoption.active != null
 
     private fun document(): Document? = overrides.document
@@ -285,6 +298,7 @@
     private companion object {
         val defaultCallerLimits = CallerLimits()
 
+        const val STORE_CHECKS_PER_DATA_CENTRE = 1
         const val MAX_REROUTES = 3
         const val REROUTE_MAX_QUEUE_WAIT_MS = 60L
     }
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/WorkerSupervisor.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/WorkerSupervisor.kt
@@ -2,6 +2,7 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.endivestep.admission.AdmissionQueue
+import org.endivestep.admission.ColdPeriod
 import org.endivestep.document.Document
 import org.endivestep.document.LimitSettings
 import org.endivestep.egress.Announcement
@@ -12,6 +13,8 @@
 import org.endivestep.egress.WorkerCapacity
 import org.endivestep.egress.WorkerPhase
 import org.endivestep.egress.WorkerRegistry
+import org.endivestep.exchange.monotonicMs
+import org.endivestep.identity.ServiceName
 import org.endivestep.membership.Gossip
 import org.endivestep.membership.WorkerInfo
 import org.endivestep.quarantine.SuspicionEntry
@@ -27,19 +30,18 @@
     private val gossip: Gossip,
     private val document: () -> Document?,
 ) {
-    /** Applies the limits that [document] gives the worker's service. */
+    private val coldPeriod = ColdPeriod(admission, ::monotonicMs)
+
+    /** Applies the limits that [document] gives the worker's service; to be called before requests are served by it. */
     fun configure(document: Document) {
+        coldPeriod.configure(document)
         val service = workers.worker?.announcement?.service ?: return
         val capacity = workers.worker?.announcement?.capacity
         document.services[service]?.let { admission.configure(it.limits.within(capacity)) }
     }
 
-    /** Applies the rate limit for cold workers for another [coldMs]. */
-    fun markCold(coldMs: Long) {
-        val service = workers.worker?.announcement?.service ?: return
-        val rate = document()?.services?.get(service)?.coldRate ?: return
-        admission.coldFor(coldMs, rate.perSecond)
-    }
+    /** Records that the worker of [service] is cold for another [coldMs]; to be called before the worker is announced. */
+    fun markCold(service: ServiceName, coldMs: Long) = coldPeriod.report(service, coldMs)
 
     /** Handles an announcement of the worker; returns the number of its requests in flight. */
     fun announce(announcement: Announcement): Int {
--- a/endivestep/src/main/kotlin/org/endivestep/egress/AnswerReader.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/AnswerReader.kt
@@ -7,8 +7,8 @@
 
 /**
  * Reads the body of an answer from [connection]. A read throws [IOException] when the answer is truncated or has
- * not arrived to its end after [remainingMs]: a faulty worker may send a body without end. At the end of the answer, [onComplete] is called if the
- * connection can be reused; otherwise the connection is closed.
+ * not arrived to its end after [remainingMs]: a faulty worker may send a body without end. At the end of the
+ * answer, [onComplete] is called if the connection can be reused; otherwise the connection is closed.
  */
 internal class AnswerReader(
     private val connection: HttpConnection,
--- a/endivestep/src/main/kotlin/org/endivestep/store/CollectionFollower.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/store/CollectionFollower.kt
@@ -30,6 +30,9 @@
     private val backoff = ExponentialBackoff(FIRST_PAUSE_MS, MAX_PAUSE_MS, random)
     private var known: StoreRevision? = null
     private var historyIsGone = false
+
+    @Volatile
+    private var refreshing = false
     private var loop: BackgroundLoop? = null
 
     /** Whether the last call to the store was answered. */
@@ -45,10 +48,28 @@
         loop?.stop()
     }
 
+    /** Ends the call to the store that is in progress, which may be silent for good, and lists the collection again. */
+    fun refresh() {
+        refreshing = true
+        loop?.interrupt()
+    }
+
     /** Makes one call to the store and handles the answer. Every answer without changes is followed by a pause. */
     fun step() {
-        val since = known
-        if (since == null) list() else watch(since)
+        try {
+            val since = known
+            if (since == null) list() else watch(since)
+        } catch (e: InterruptedException) {
+            if (!refreshing) throw e
+            logger.info { "ending the call to the store for ${collection.text} to list it again" }
+            requireCurrentList()
+        }
+        refreshing = false
+    }
+
+    private fun requireCurrentList() {
+        known = null
+        historyIsGone = true
     }
 
     private fun list() {
@@ -75,8 +96,7 @@
             }
             WatchedCollection.HistoryGone -> {
                 logger.info { "the store no longer has the changes of ${collection.text} since revision ${since.number}; listing it again" }
-                known = null
-                historyIsGone = true
+                requireCurrentList()
                 pause(backoff.nextDelayMs())
             }
             is WatchedCollection.Unavailable -> failed(watched.cause)
--- a/endivestep/src/test/kotlin/org/endivestep/admission/ColdRateLimiterTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/admission/ColdRateLimiterTest.kt
@@ -4,6 +4,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.ints.shouldBeGreaterThanOrEqual
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
 
 private fun sends(limiter: ColdRateLimiter, fromMs: Long, untilMs: Long): List<Long> =
     (fromMs until untilMs).flatMap { nowMs ->
@@ -36,4 +37,25 @@
             limiter.limitUntil(untilMs = 1_000, perSecond = 1.0)
             sends(limiter, 1_000, 1_001).size shouldBeGreaterThanOrEqual 100
         }
+
+        test(
+            "a cold worker receives nothing in the first window after a start, because the run before may have sent it as much as it may get",
+        ) {
+            class Case(val name: String, val coldUntilMs: Long, val perSecond: Double)
+            listOf(
+                Case("cold for long", 5_000, 46.0),
+                Case("cold until within the window", 10_700, 46.0),
+                Case("slow", 20_000, 5.9),
+            ).forEach { case ->
+                val limiter = ColdRateLimiter(startedMs = 10_000)
+                limiter.limitUntil(case.coldUntilMs + 10_000, case.perSecond)
+                withClue(case.name) { sends(limiter, 10_000, 11_000) shouldBe emptyList() }
+                // With what the run before sent in its last second, no second holds more than the rate.
+                val sent = List(case.perSecond.toInt()) { 9_999L } + sends(limiter, 11_000, 14_000)
+                (9_500L..13_000L step 50).forEach { startMs ->
+                    val inSecond = sent.count { it in startMs until startMs + 1_000 }
+                    withClue("${case.name} from $startMs") { inSecond shouldBeLessThanOrEqual case.perSecond.toInt() }
+                }
+            }
+        }
     })
