--- a/endivestep/src/test/kotlin/org/endivestep/egress/NettyWorkerCallTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/egress/NettyWorkerCallTest.kt
@@ -256,7 +256,7 @@
 
         test("a request whose deadline has passed, or whose caller has left, is not sent by a thread that is late") {
             val loops = NioEventLoopGroup(1)
-            ScriptedWorker(listOf(answer("1", "whole")), keepOpen).use { worker ->
+            ScriptedWorker(listOf(answer("1", "whole"), answer("2", "late")), keepOpen).use { worker ->
                 val call = nettyWorkerCall(HttpConnectionPool(loops, connectTimeoutMs = 500), headers)
                 val local = LocalWorker(Announcement(ServiceName("s"), worker.address, WorkerIncarnation("w"), false), WorkerPhase.SERVING)
                 call(local, request("1")).let(::describe) shouldBe "200 whole"
