--- a/endivestep/src/test/kotlin/org/endivestep/admission/ColdRateLimiterTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/admission/ColdRateLimiterTest.kt
@@ -38,13 +38,11 @@
             sends(limiter, 1_000, 1_001).size shouldBeGreaterThanOrEqual 100
         }
 
-        test(
-            "a cold worker receives nothing in the first window after a start, because the run before may have sent it as much as it may get",
-        ) {
+        test("a cold worker receives nothing in the first window after a start, since the run before may have used its rate up") {
             class Case(val name: String, val coldUntilMs: Long, val perSecond: Double)
             listOf(
                 Case("cold for long", 5_000, 46.0),
-                Case("cold until within the window", 10_700, 46.0),
+                Case("cold for longer", 10_700, 46.0),
                 Case("slow", 20_000, 5.9),
             ).forEach { case ->
                 val limiter = ColdRateLimiter(startedMs = 10_000)
