--- a/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
@@ -17,6 +17,7 @@
 import org.endivestep.identity.DataCentreName
 import org.endivestep.metrics.LogEntry
 import org.endivestep.metrics.RateLimitedLog
+import org.endivestep.outcome.AnswerHead
 import org.endivestep.outcome.AttemptResult
 import org.endivestep.outcome.NotRunReason
 import org.endivestep.outcome.UnknownReason
@@ -173,6 +174,23 @@
         }
     }
 
+    private fun logMissingHeaders(run: EgressRun, head: AnswerHead) {
+        val missing = answerInterpreter.missingHeaders(head)
+        if (missing.isEmpty()) return
+        log.write {
+            val fields =
+                mapOf(
+                    "request" to run.request.requestId.text,
+                    "attempt" to run.request.attemptId.text,
+                    "status" to head.status,
+                    "missing" to missing,
+                    "headers" to head.headers.map { it.name },
+                    "delimited" to head.isDelimited(run.request.method),
+                )
+            LogEntry("the worker's answer lacks headers", fields)
+        }
+    }
+
     private fun notifyAdmitted(permit: AdmissionLimit.Permit, onAdmitted: () -> Unit) {
         var notified = false
         try {
@@ -187,6 +205,7 @@
         lastTrafficMs = monotonicMs()
         val head = result.head
         answerInterpreter.slownessPercent(head)?.let(admission::noteSlowness)
+        logMissingHeaders(run, head)
         val verdict = answerInterpreter.interpret(service, run.request, head)
         if (verdict is AnswerVerdict.Mismatched) {
             result.abort()
--- a/endivestep/src/main/kotlin/org/endivestep/egress/WorkerAnswerInterpreter.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/WorkerAnswerInterpreter.kt
@@ -27,7 +27,12 @@
      * reset truncates it. Otherwise such an answer is not used.
      */
     val acceptsUndelimitedAnswers: Boolean = false,
-)
+    /** Names of the headers that every answer of a worker has. */
+    val requiredHeaders: List<String> = emptyList(),
+) {
+    /** Returns the names of the required headers that [head] lacks. */
+    fun missingHeaders(head: AnswerHead): List<String> = requiredHeaders.filter { head.header(it) == null }
+}
 
 /** Interprets answers by the settings of the service. */
 internal val serviceAnswerInterpreter =
