--- a/emulator/src/main/kotlin/org/endivestep/emulator/PlatformWorkerServer.kt
+++ b/emulator/src/main/kotlin/org/endivestep/emulator/PlatformWorkerServer.kt
@@ -30,6 +30,10 @@
 
     private fun answer(request: Request): Response {
         val id = request.header("X-Request-Id") ?: return Response(Status.BAD_REQUEST).header("X-Not-Run", "1")
+        return answerTo(request, id).header("X-Request-Id", id)
+    }
+
+    private fun answerTo(request: Request, id: String): Response {
         val expected = request.header("X-Expect-Instance")
         if (expected != null && expected != behaviour.id) {
             return Response(Status(MISDIRECTED_REQUEST, "")).header("X-Instance-Id", behaviour.id)
@@ -50,7 +54,6 @@
         runs += "$id ${request.method} ${request.uri} caller=${request.header("X-Caller")} body=${request.body.stream.readBytes().size}"
         Thread.sleep(behaviour.workMs)
         return Response(Status.OK)
-            .header("X-Request-Id", id)
             .header("X-Server-Stamp", "stamp.$id")
             .header("X-Server-Load", "${running.get()},0,${behaviour.slots},100")
             .body("${behaviour.id} ran $id")
--- a/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
@@ -174,20 +174,18 @@
         }
     }
 
-    private fun logMissingHeaders(run: EgressRun, head: AnswerHead) {
-        val missing = answerInterpreter.missingHeaders(head)
-        if (missing.isEmpty()) return
+    private fun logMismatch(run: EgressRun, head: AnswerHead, verdict: AnswerVerdict.Mismatched) {
         log.write {
             val fields =
                 mapOf(
                     "request" to run.request.requestId.text,
                     "attempt" to run.request.attemptId.text,
+                    "cause" to verdict.cause,
                     "status" to head.status,
-                    "missing" to missing,
                     "headers" to head.headers.map { it.name },
                     "delimited" to head.isDelimited(run.request.method),
                 )
-            LogEntry("the worker's answer lacks headers", fields)
+            LogEntry("the worker's answer cannot be attributed to the request", fields)
         }
     }
 
@@ -204,14 +202,14 @@
     private fun answered(run: EgressRun, service: Service, result: WorkerResult.Answered): AttemptResult {
         lastTrafficMs = monotonicMs()
         val head = result.head
-        answerInterpreter.slownessPercent(head)?.let(admission::noteSlowness)
-        logMissingHeaders(run, head)
         val verdict = answerInterpreter.interpret(service, run.request, head)
         if (verdict is AnswerVerdict.Mismatched) {
             result.abort()
+            logMismatch(run, head, verdict)
             run.end(Completion.Failed, connectionLost = false)
             return AttemptResult.Unknown(UnknownReason.MISMATCHED_ANSWER, admission.load)
         }
+        answerInterpreter.slownessPercent(head)?.let(admission::noteSlowness)
         if (!answerInterpreter.acceptsUndelimitedAnswers && !head.isDelimited(run.request.method)) {
             result.abort()
             run.end(Completion.Cancelled, connectionLost = false)
--- a/endivestep/src/main/kotlin/org/endivestep/egress/WorkerAnswerInterpreter.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/WorkerAnswerInterpreter.kt
@@ -13,8 +13,8 @@
     /** The worker reports that it did not run the request. */
     class NotRun(val reason: NotRunReason, val final: Boolean = false) : AnswerVerdict
 
-    /** The answer belongs to another request. */
-    data object Mismatched : AnswerVerdict
+    /** The answer cannot be attributed to the request, because of [cause]; whether the request ran is unknown. */
+    class Mismatched(val cause: String) : AnswerVerdict
 }
 
 /** How the answers of workers are interpreted. */
@@ -27,12 +27,7 @@
      * reset truncates it. Otherwise such an answer is not used.
      */
     val acceptsUndelimitedAnswers: Boolean = false,
-    /** Names of the headers that every answer of a worker has. */
-    val requiredHeaders: List<String> = emptyList(),
-) {
-    /** Returns the names of the required headers that [head] lacks. */
-    fun missingHeaders(head: AnswerHead): List<String> = requiredHeaders.filter { head.header(it) == null }
-}
+)
 
 /** Interprets answers by the settings of the service. */
 internal val serviceAnswerInterpreter =
@@ -40,7 +35,7 @@
         interpret = { service, request, head ->
             val echoed = head.header(OutcomeHeaders.REQUEST_ID)
             when {
-                service.echoesRequestId && echoed != request.requestId.text -> AnswerVerdict.Mismatched
+                service.echoesRequestId && echoed != request.requestId.text -> AnswerVerdict.Mismatched("its request id is $echoed")
                 head.status == service.shedStatus ->
                     AnswerVerdict.NotRun(NotRunReason.WORKER_SHED, final = head.header(OutcomeHeaders.RETRY) == "no")
                 else -> AnswerVerdict.Accepted
--- a/endivestep/src/test/kotlin/org/endivestep/fakes/EgressFixture.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/fakes/EgressFixture.kt
@@ -7,9 +7,11 @@
 import org.endivestep.egress.CrashDetector
 import org.endivestep.egress.Egress
 import org.endivestep.egress.InFlightRequests
+import org.endivestep.egress.WorkerAnswerInterpreter
 import org.endivestep.egress.WorkerCall
 import org.endivestep.egress.WorkerRegistry
 import org.endivestep.egress.WorkerResult
+import org.endivestep.egress.serviceAnswerInterpreter
 import org.endivestep.exchange.AttemptRequest
 import org.endivestep.exchange.Deadline
 import org.endivestep.exchange.RequestBody
@@ -34,6 +36,8 @@
     @Volatile var document: Document? = sampleDocument(),
     dataCentre: String = "katwijk",
     quarantine: Quarantine? = null,
+    private val address: Address = Address("127.0.0.1", 1),
+    answerInterpreter: WorkerAnswerInterpreter = serviceAnswerInterpreter,
     private val worker: WorkerCall,
 ) {
     val runs = AtomicInteger()
@@ -49,7 +53,7 @@
     val quarantine = quarantine ?: Quarantine(sampleDocument().quarantine, ::monotonicMs)
     val crashes = CrashDetector(this.quarantine, inFlight, workers, { workerListens }, { })
     val egress =
-        Egress(DataCentreName(dataCentre), { document }, admission, workers, attempts, crashes) { local, request ->
+        Egress(DataCentreName(dataCentre), { document }, admission, workers, attempts, crashes, answerInterpreter) { local, request ->
             val result = worker(local, request)
             if (ran(result)) runs.incrementAndGet()
             result
@@ -68,7 +72,7 @@
         }
 
     fun announce(service: String, incarnation: String, leaving: Boolean = false) =
-        workers.announce(Announcement(ServiceName(service), Address("127.0.0.1", 1), WorkerIncarnation(incarnation), leaving))
+        workers.announce(Announcement(ServiceName(service), address, WorkerIncarnation(incarnation), leaving))
 
     private companion object {
         const val SHED_STATUS = 503
