--- a/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
@@ -183,7 +183,6 @@
                     "cause" to verdict.cause,
                     "status" to head.status,
                     "headers" to head.headers.map { it.name },
-                    "delimited" to head.isDelimited(run.request.method),
                 )
             LogEntry("the worker's answer cannot be attributed to the request", fields)
         }
