Refuse a request without an id before it is sent to a worker

What callers and workers saw: a daemon passed a request without X-Request-Id on with an empty id. Since an answer is attributed to its request by the id alone, no answer could ever be: the caller got 502 after as many tries as the route allows, and each try counted as a failure of a healthy worker, whose limit falls. The daemon now answers 400, after the route is found and before anything is sent.

--- a/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
@@ -85,6 +85,8 @@
         val service =
             current.services[weights.choose(rule)]
                 ?: return refusal(request, rule, NotRunReason.UNKNOWN_SERVICE)
+        // The answer to a request without an id could not be attributed to it.
+        if (requestId.isBlank()) return refusal(request, rule, NotRunReason.BAD_REQUEST)
         val deadlineMs = request.header(headers.deadlineMs)?.toLongOrNull() ?: rule.timeoutMs
         val deadline = Deadline(request.arrivedMs + minOf(deadlineMs, rule.timeoutMs))
         if (deadline.remainingMs(monotonicMs()) <= 0) return refusal(request, rule, NotRunReason.DEADLINE_PASSED)
@@ -137,7 +139,7 @@
     private fun refusal(request: CallerRequest, rule: RouteRule?, reason: NotRunReason, call: IncomingCall? = null): CallerReply {
         val deadlineMs = request.header(headers.deadlineMs)?.toLongOrNull() ?: 0
         val remainingMs = request.arrivedMs + deadlineMs - monotonicMs()
-        val status = if (reason == NotRunReason.NO_ROUTE) reason.status() else NOT_RUN_STATUS
+        val status = if (reason in callerErrors) reason.status() else NOT_RUN_STATUS
         val retryDelayMs = retryDelay(rule, reason, remainingMs)
         record(request, RequestOutcome(FinalOutcome.NOT_RUN, status, reason.text, rule, call, retryDelayMs))
         val seconds = BigDecimal.valueOf(retryDelayMs, DIGITS_OF_MS).toPlainString()
@@ -171,6 +173,7 @@
     }
 
     private companion object {
+        val callerErrors = setOf(NotRunReason.NO_ROUTE, NotRunReason.BAD_REQUEST)
         const val NOT_RUN_STATUS = 503
         const val FAILURE_STATUS = 502
         const val TIMEOUT_STATUS = 504
