Share the scripted worker and the callers' server of the tests as fixtures

The worker now runs a script for each connection; a list of verbatim answers is one such script. No case was changed.

--- a/endivestep/src/test/kotlin/org/endivestep/egress/NettyWorkerCallTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/egress/NettyWorkerCallTest.kt
@@ -3,64 +3,21 @@
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
-import io.netty.channel.nio.NioEventLoopGroup
 import org.endivestep.exchange.AttemptRequest
-import org.endivestep.exchange.Deadline
-import org.endivestep.exchange.MessageHeaders
-import org.endivestep.exchange.RequestBody
 import org.endivestep.exchange.monotonicMs
-import org.endivestep.http.HttpConnectionPool
-import org.endivestep.identity.AttemptId
-import org.endivestep.identity.Fingerprint
-import org.endivestep.identity.KindName
-import org.endivestep.identity.RequestId
-import org.endivestep.identity.ServiceName
-import org.endivestep.identity.WorkerIncarnation
+import org.endivestep.fakes.WorkerCallFixture
+import org.endivestep.fakes.WorkerConnection
+import org.endivestep.fakes.answerText
+import org.endivestep.fakes.scriptedWorker
+import org.endivestep.fakes.workerRequest
 import org.endivestep.settings.Address
-import java.io.IOException
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
-import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
 
-private val headers = MessageHeaders("Id", "Deadline", "Caller", "Expect", "Retry-After")
-
-/** A worker that sends the next of [answers] verbatim for each request on a connection, and then runs [afterwards]. */
-private class ScriptedWorker(private val answers: List<String>, private val afterwards: (Socket) -> Unit) : AutoCloseable {
-    private val server = ServerSocket(0, 10, InetAddress.getLoopbackAddress())
-    val address = Address("127.0.0.1", server.localPort)
-
-    @Volatile
-    var connections = 0
-
-    /** Ids of the requests received. */
-    val requests = ConcurrentLinkedQueue<String>()
-
-    init {
-        thread(isDaemon = true) { while (!server.isClosed) runCatching { serve(server.accept()) } }
-    }
-
-    private fun serve(socket: Socket) {
-        connections++
-        thread(isDaemon = true) {
-            val reader = socket.getInputStream().bufferedReader()
-            answers.forEach { answer ->
-                generateSequence { reader.readLine()?.ifEmpty { null } }.forEach { line ->
-                    if (line.startsWith("Id:")) requests += line.substringAfter(": ")
-                }
-                socket.getOutputStream().write(answer.toByteArray())
-                socket.getOutputStream().flush()
-            }
-            afterwards(socket)
-        }
-    }
-
-    override fun close() = server.close()
-}
-
 /** A worker that answers each request with [start] and then sends [endless] until the connection is closed. */
 private class EndlessWorker(private val start: String, private val endless: String) : AutoCloseable {
     private val server = ServerSocket(0, 10, InetAddress.getLoopbackAddress())
@@ -87,106 +44,62 @@
     override fun close() = server.close()
 }
 
-private fun answer(id: String, body: String) = "HTTP/1.1 200 OK\r\nId: $id\r\nContent-Length: ${body.length}\r\n\r\n$body"
-
-private fun request(id: String, remainingMs: Long = 2_000) =
-    AttemptRequest(
-        requestId = RequestId(id),
-        attemptId = AttemptId("attempt-$id"),
-        service = ServiceName("s"),
-        kind = KindName("read"),
-        method = "GET",
-        path = "/a/1",
-        headers = emptyList(),
-        body = RequestBody.Inline(ByteArray(0)),
-        deadline = Deadline(monotonicMs() + remainingMs),
-        fingerprint = Fingerprint("print"),
-    )
-
 private const val DEADLINE_MS = 1_500L
 
-/** Returns the first bytes of the body and reads the others; null when the body is truncated. */
-private fun readBody(answered: WorkerResult.Answered): String? =
-    try {
-        val first = answered.body.readNBytes(1_000_000)
-        val untilMs = monotonicMs() + DEADLINE_MS * 2
-        val buffer = ByteArray(65_536)
-        while (answered.body.read(buffer) >= 0) check(monotonicMs() < untilMs) { "the body was read past its deadline" }
-        first.decodeToString()
-    } catch (_: IOException) {
-        answered.abort()
-        null
-    }
-
-private fun describe(result: WorkerResult): String =
-    when (result) {
-        is WorkerResult.Answered -> readBody(result)?.let { "${result.head.status} $it" } ?: "truncated"
-        is WorkerResult.Failed -> if (result.timedOut) "timed out" else "failed"
-        is WorkerResult.NotSent -> "not sent"
-        WorkerResult.Cancelled -> "cancelled"
-        WorkerResult.Expired -> "expired"
-    }
-
-private fun <T> withCall(address: Address, use: (send: (AttemptRequest) -> String) -> T): T {
-    val loops = NioEventLoopGroup(1)
-    try {
-        val call = nettyWorkerCall(HttpConnectionPool(loops, connectTimeoutMs = 500), headers)
-        val announcement = Announcement(ServiceName("s"), address, WorkerIncarnation("w"), leaving = false)
-        return use { describe(call(LocalWorker(announcement, WorkerPhase.SERVING), it)) }
-    } finally {
-        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS)
-    }
-}
+private fun <T> withCall(address: Address, use: (send: (AttemptRequest) -> String) -> T): T =
+    WorkerCallFixture().use { fixture -> use { fixture.send(address, it) } }
 
 class NettyWorkerCallTest :
     FunSpec({
-        val close: (Socket) -> Unit = { it.close() }
-        val reset: (Socket) -> Unit = { socket ->
-            socket.setSoLinger(true, 0)
-            socket.close()
-        }
-        val keepOpen: (Socket) -> Unit = { Thread.sleep(5_000) }
+        val close: WorkerConnection.() -> Unit = { }
+        val reset: WorkerConnection.() -> Unit = { reset() }
+        val keepOpen: WorkerConnection.() -> Unit = { awaitClose() }
 
         test("each answer of a worker gives the expected result") {
-            class Case(val name: String, val answers: List<String>, val afterwards: (Socket) -> Unit, val expected: String)
+            class Case(val name: String, val answers: List<String>, val afterwards: WorkerConnection.() -> Unit, val expected: String)
             listOf(
-                Case("a complete answer", listOf(answer("1", "whole")), keepOpen, "200 whole"),
-                Case("an answer to another request before it", listOf(answer("0", "other") + answer("1", "mine")), keepOpen, "200 mine"),
-                Case("only an answer to another request", listOf(answer("0", "other")), close, "failed"),
-                Case("a truncated answer", listOf(answer("1", "whole").dropLast(2)), close, "failed"),
+                Case("a complete answer", listOf(answerText("1", "whole")), keepOpen, "200 whole"),
+                Case(
+                    "an answer to another request before it",
+                    listOf(answerText("0", "other") + answerText("1", "mine")),
+                    keepOpen,
+                    "200 mine",
+                ),
+                Case("only an answer to another request", listOf(answerText("0", "other")), close, "failed"),
+                Case("a truncated answer", listOf(answerText("1", "whole").dropLast(2)), close, "failed"),
                 Case("an answer that ends with its connection", listOf("HTTP/1.1 200 OK\r\nId: 1\r\n\r\nopen end"), close, "200 open end"),
                 Case("an answer whose connection is reset", listOf("HTTP/1.1 200 OK\r\nId: 1\r\n\r\nopen end"), reset, "failed"),
                 Case("bytes that are not a valid answer", listOf("\u0001\u0002 nonsense\r\n\r\n"), keepOpen, "failed"),
                 Case("a closed connection", listOf(""), close, "failed"),
             ).forEach { case ->
-                ScriptedWorker(case.answers, case.afterwards).use { worker ->
-                    withClue(case.name) { withCall(worker.address) { send -> send(request("1")) } shouldBe case.expected }
+                scriptedWorker(case.answers, case.afterwards).use { worker ->
+                    withClue(case.name) { withCall(worker.address) { send -> send(workerRequest("1")) } shouldBe case.expected }
                 }
             }
         }
 
         test("a duplicate answer is not taken as the answer to the next request") {
-            ScriptedWorker(listOf(answer("1", "first") + answer("1", "again"), answer("2", "second")), keepOpen).use { worker ->
+            scriptedWorker(listOf(answerText("1", "first") + answerText("1", "again"), answerText("2", "second")), keepOpen).use { worker ->
                 withCall(worker.address) { send ->
-                    send(request("1")) shouldBe "200 first"
+                    send(workerRequest("1")) shouldBe "200 first"
                     Thread.sleep(100)
                     // The connection was closed when the duplicate arrived, so the next request uses a new connection.
-                    send(request("1")) shouldBe "200 first"
+                    send(workerRequest("1")) shouldBe "200 first"
                 }
             }
         }
 
         test("a request to a worker that does not respond times out at the deadline, not before") {
-            ScriptedWorker(listOf(""), keepOpen).use { worker ->
+            scriptedWorker(listOf(""), keepOpen).use { worker ->
                 val startMs = monotonicMs()
-                withCall(worker.address) { send -> send(request("1", remainingMs = 200)) } shouldBe "timed out"
+                withCall(worker.address) { send -> send(workerRequest("1", remainingMs = 200)) } shouldBe "timed out"
                 (monotonicMs() - startMs in 190..1_500) shouldBe true
             }
         }
 
         test("a request to a port where nothing listens is not sent") {
             val port = ServerSocket(0).use { it.localPort }
-            withCall(Address("127.0.0.1", port)) { send -> send(request("1")) } shouldBe "not sent"
+            withCall(Address("127.0.0.1", port)) { send -> send(workerRequest("1")) } shouldBe "not sent"
         }
 
         test("a worker that never stops sending is given up at a bound, and its connection is closed") {
@@ -198,7 +111,7 @@
                 Case("a line", "HTTP/1.1 200 ", filler, "failed", beforeDeadline = true),
                 Case("bytes that are not an answer", "", "$filler\r\n", "failed", beforeDeadline = true),
                 Case("interim answers", "", "HTTP/1.1 102 Processing\r\n\r\n", "failed", beforeDeadline = true),
-                Case("answers to other requests", "", answer("0", filler), "failed", beforeDeadline = true),
+                Case("answers to other requests", "", answerText("0", filler), "failed", beforeDeadline = true),
                 Case(
                     "an answer to another request",
                     "HTTP/1.1 200 OK\r\nId: 0\r\nTransfer-Encoding: chunked\r\n\r\n",
@@ -206,7 +119,7 @@
                     "failed",
                     beforeDeadline = true,
                 ),
-                Case("bytes after an answer", answer("1", "whole"), filler, "200 whole", beforeDeadline = true),
+                Case("bytes after an answer", answerText("1", "whole"), filler, "200 whole", beforeDeadline = true),
                 Case("a body where none may be", "HTTP/1.1 204 No Content\r\nId: 1\r\n\r\n", filler, "204 ", beforeDeadline = true),
                 Case("a chunked body", "${head}Transfer-Encoding: chunked\r\n\r\n", "3e8\r\n$filler\r\n", "truncated", false),
                 Case("chunks of one byte", "${head}Transfer-Encoding: chunked\r\n\r\n", "1\r\nz\r\n".repeat(100), "truncated", false),
@@ -218,7 +131,7 @@
                 worker.use {
                     withClue(case.name) {
                         val startMs = monotonicMs()
-                        withCall(worker.address) { send -> send(request("1", remainingMs = DEADLINE_MS)) } shouldBe case.expected
+                        withCall(worker.address) { send -> send(workerRequest("1", remainingMs = DEADLINE_MS)) } shouldBe case.expected
                         val tookMs = monotonicMs() - startMs
                         withClue("took $tookMs ms") {
                             (tookMs < if (case.beforeDeadline) DEADLINE_MS else DEADLINE_MS + 500) shouldBe true
@@ -243,31 +156,29 @@
             framings.forEach { framing ->
                 val whole = "HTTP/1.1 200 OK\r\nId: 1\r\n${framing.head}\r\n" + framing.encode(body)
                 listOf(10, 40, 100, 60_000, 66_000, 150_000, whole.length - 1).forEach { cut ->
-                    ScriptedWorker(listOf(whole.take(cut)), reset).use { worker ->
-                        val result = withCall(worker.address) { send -> send(request("1")) }
+                    scriptedWorker(listOf(whole.take(cut)), reset).use { worker ->
+                        val result = withCall(worker.address) { send -> send(workerRequest("1")) }
                         withClue("${framing.name} cut off at $cut") { (result == "failed" || result == "truncated") shouldBe true }
                     }
                 }
-                ScriptedWorker(listOf(whole), close).use { worker ->
-                    withClue(framing.name) { withCall(worker.address) { send -> send(request("1")) } shouldBe "200 $body" }
+                scriptedWorker(listOf(whole), close).use { worker ->
+                    withClue(framing.name) { withCall(worker.address) { send -> send(workerRequest("1")) } shouldBe "200 $body" }
                 }
             }
         }
 
         test("a request whose deadline has passed, or whose caller has left, is not sent by a thread that is late") {
-            val loops = NioEventLoopGroup(1)
-            ScriptedWorker(listOf(answer("1", "whole"), answer("2", "late")), keepOpen).use { worker ->
-                val call = nettyWorkerCall(HttpConnectionPool(loops, connectTimeoutMs = 500), headers)
-                val local = LocalWorker(Announcement(ServiceName("s"), worker.address, WorkerIncarnation("w"), false), WorkerPhase.SERVING)
-                call(local, request("1")).let(::describe) shouldBe "200 whole"
-                loops.execute { Thread.sleep(600) }
-                val caller = thread { runCatching { call(local, request("2", remainingMs = 5_000)) } }
+            val fixture = WorkerCallFixture()
+            scriptedWorker(listOf(answerText("1", "whole"), answerText("2", "late")), keepOpen).use { worker ->
+                fixture.send(worker.address, workerRequest("1")) shouldBe "200 whole"
+                fixture.loops.execute { Thread.sleep(600) }
+                val caller = thread { runCatching { fixture.send(worker.address, workerRequest("2", remainingMs = 5_000)) } }
                 Thread.sleep(50)
                 caller.interrupt()
-                call(local, request("3", remainingMs = 200)).let(::describe) shouldBe "expired"
+                fixture.send(worker.address, workerRequest("3", remainingMs = 200)) shouldBe "expired"
                 Thread.sleep(700)
                 worker.requests.toList() shouldBe listOf("1")
             }
-            loops.shutdownGracefully(0, 1, TimeUnit.SECONDS)
+            fixture.close()
         }
     })
--- a/endivestep/src/test/kotlin/org/endivestep/ingress/NettyCallerServerTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/ingress/NettyCallerServerTest.kt
@@ -5,52 +5,19 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.string.shouldNotContain
-import io.netty.channel.nio.NioEventLoopGroup
 import org.endivestep.document.CallerLimits
 import org.endivestep.exchange.RequestBody
 import org.endivestep.exchange.monotonicMs
-import org.endivestep.settings.Address
+import org.endivestep.fakes.CallerServerFixture
 import java.io.IOException
 import java.io.InputStream
-import java.net.ServerSocket
-import java.net.Socket
 import java.net.SocketException
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.CountDownLatch
-import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 
-private class TestServer(
-    handler: RequestHandler,
-    limits: CallerLimits = CallerLimits(),
-    mayOverlap: OverlapRule = { it.method == "GET" },
-) : AutoCloseable {
-    private val loops = NioEventLoopGroup(1)
-    private val runners = Executors.newCachedThreadPool()
-    private val port = ServerSocket(0).use { it.localPort }
-    val listener = NettyCallerServer(Address("127.0.0.1", port), loops, runners, { limits }, handler, mayOverlap)
-
-    init {
-        listener.start()
-    }
-
-    fun connect() = Socket("127.0.0.1", port).also { it.soTimeout = 3_000 }
-
-    /** Sends [text] on a new connection. Returns all bytes received until it closes, or only the first byte if not [readToEnd]. */
-    fun exchange(text: String, readToEnd: Boolean = true): String =
-        connect().use { socket ->
-            socket.getOutputStream().write(text.toByteArray())
-            if (readToEnd) socket.getInputStream().readBytes().decodeToString() else socket.getInputStream().readNBytes(1).decodeToString()
-        }
-
-    override fun close() {
-        runners.shutdownNow()
-        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS)
-    }
-}
-
 private const val GET = "GET /a HTTP/1.1\r\nHost: h\r\n"
 
 private fun reply(text: String) = CallerReply(200, emptyList(), text.byteInputStream(), text.length.toLong())
@@ -72,7 +39,7 @@
         test("a caller that disconnects interrupts the handler of its request") {
             val began = CountDownLatch(1)
             val interrupted = CountDownLatch(1)
-            TestServer({
+            CallerServerFixture({
                 began.countDown()
                 try {
                     Thread.sleep(10_000)
@@ -99,7 +66,7 @@
 
                         override fun read(): Int = if (left-- > 0) 'x'.code else throw IOException("cut")
                     }
-                TestServer({ CallerReply(200, emptyList(), broken, case.length) }).use { server ->
+                CallerServerFixture({ CallerReply(200, emptyList(), broken, case.length) }).use { server ->
                     val answer = runCatching { server.exchange("$GET\r\n") }.getOrDefault("")
                     answer shouldNotContain "0\r\n\r\n"
                     (answer.substringAfter("\r\n\r\n", "").length < (case.length ?: Long.MAX_VALUE)) shouldBe true
@@ -108,7 +75,7 @@
         }
 
         test("pipelined requests are answered in order") {
-            TestServer({ reply(it.target) }).use { server ->
+            CallerServerFixture({ reply(it.target) }).use { server ->
                 val last = "GET /c HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
                 val answers = server.exchange("$GET\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n$last")
                 Regex("/[abc]").findAll(answers).map { it.value }.toList() shouldBe listOf("/a", "/b", "/c")
@@ -116,7 +83,7 @@
         }
 
         test("pipelined requests that may overlap run at the same time, and their answers leave in order") {
-            TestServer({ request ->
+            CallerServerFixture({ request ->
                 // The earlier a request, the longer it takes.
                 Thread.sleep(200 - 8 * request.target.removePrefix("/").toLong())
                 reply(request.target)
@@ -133,7 +100,7 @@
         test("a pipelined request that may not overlap starts when those before it have ended, and those behind it wait for its end") {
             val running = AtomicInteger()
             val beside = ConcurrentLinkedQueue<String>()
-            TestServer({ request ->
+            CallerServerFixture({ request ->
                 val count = running.incrementAndGet()
                 if (request.method == "POST") beside += "$count"
                 Thread.sleep(100)
@@ -156,7 +123,9 @@
                 Case("a body over the limit", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n"),
             ).forEach { case ->
                 val runs = ConcurrentLinkedQueue<String>()
-                TestServer({ request -> reply("ran").also { runs += request.target } }, CallerLimits(bodyBytes = 10)).use { server ->
+                CallerServerFixture({ request ->
+                    reply("ran").also { runs += request.target }
+                }, CallerLimits(bodyBytes = 10)).use { server ->
                     server.exchange("${case.first}GET /behind HTTP/1.1\r\nHost: h\r\n\r\n") shouldContain "connection: close"
                     withClue(case.name) { runs.contains("/behind") shouldBe false }
                 }
@@ -164,7 +133,7 @@
         }
 
         test("an answer to a malformed request leaves after the answers to those before it") {
-            TestServer({ request ->
+            CallerServerFixture({ request ->
                 Thread.sleep(100)
                 reply(request.target)
             }).use { server ->
@@ -175,7 +144,7 @@
 
         test("a caller that pipelines requests and reads no answer is read no further") {
             val runs = AtomicInteger()
-            TestServer({
+            CallerServerFixture({
                 runs.incrementAndGet()
                 reply("z".repeat(10_000))
             }).use { server ->
@@ -205,7 +174,7 @@
         test("a caller that disconnects interrupts all of its pipelined requests") {
             val began = CountDownLatch(3)
             val interrupted = CountDownLatch(3)
-            TestServer({
+            CallerServerFixture({
                 began.countDown()
                 try {
                     Thread.sleep(10_000)
@@ -225,7 +194,7 @@
 
         test("a planned stop ends a pipelined connection at an answer, and every request that ran is answered") {
             val runs = AtomicInteger()
-            TestServer({ request ->
+            CallerServerFixture({ request ->
                 runs.incrementAndGet()
                 Thread.sleep(100)
                 reply(request.target)
@@ -245,7 +214,7 @@
         test("request bodies arrive complete, short and long, with Content-Length and chunked") {
             listOf(0, 10, 100_000, 2_000_000).forEach { size ->
                 val body = "y".repeat(size)
-                TestServer({ request -> reply("${bodyOf(request).length}") }).use { server ->
+                CallerServerFixture({ request -> reply("${bodyOf(request).length}") }).use { server ->
                     val head = "POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
                     server.exchange("${head}Content-Length: $size\r\n\r\n$body") shouldContain "\r\n\r\n$size"
                     val chunk = if (size == 0) "" else "${size.toString(16)}\r\n$body\r\n"
@@ -255,14 +224,14 @@
         }
 
         test("malformed requests and bodies over the limit are refused and the connection is closed") {
-            TestServer({ reply("handled") }, CallerLimits(bodyBytes = 10)).use { server ->
+            CallerServerFixture({ reply("handled") }, CallerLimits(bodyBytes = 10)).use { server ->
                 server.exchange("nonsense\r\n\r\n") shouldContain "400"
                 server.exchange("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n") shouldContain "413"
             }
         }
 
         test("after the listening socket is closed, open connections are served and new ones are refused") {
-            TestServer({ reply("served") }).use { server ->
+            CallerServerFixture({ reply("served") }).use { server ->
                 val open = server.connect()
                 open.getOutputStream().write("$GET\r\n".toByteArray())
                 open.getInputStream().readNBytes(15).decodeToString() shouldContain "200"
