Send an attempt again on a connection that has not carried its request id

What callers saw: after a retry at the same worker, the answer of the run before: its failure, or a refusal that does not hold for the second run.

Cause: every attempt of a request has the caller's request id, and answers are matched by this id alone. A late second copy of the first answer on a reused connection therefore matched the second attempt.

Why this works: a connection remembers the ids of its last 32 exchanges, and the pool passes over it for a request with one of them. On the other connection no earlier answer with this id can arrive.

Ruled out: an id of our own for each attempt, since the id must reach the worker as the caller sent it. Closing the connection after each retry, which would cost a new connection for other requests.

--- a/endivestep/src/main/kotlin/org/endivestep/egress/NettyWorkerCall.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/NettyWorkerCall.kt
@@ -42,7 +42,7 @@
     fun run(): WorkerResult {
         val connection =
             try {
-                connections.begin(address, ::isExpected)
+                connections.begin(address, attempt.requestId, ::isExpected)
             } catch (e: IOException) {
                 return WorkerResult.NotSent(e.toString())
             } catch (_: InterruptedException) {
--- a/endivestep/src/main/kotlin/org/endivestep/http/HttpConnection.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/http/HttpConnection.kt
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.concurrent.Future
 import org.endivestep.exchange.RequestBody
+import org.endivestep.identity.RequestId
 import org.endivestep.outcome.AnswerHead
 import org.endivestep.outcome.HeaderField
 import java.io.IOException
@@ -50,6 +51,8 @@
     @Volatile
     private var awaitingResponse = false
 
+    private val recentRequests = ArrayDeque<RequestId>()
+
     /** When the last exchange ended, by [System.nanoTime]. */
     var idleSinceNanos = 0L
         private set
@@ -64,20 +67,29 @@
     /** Whether the response of the current exchange has arrived to its end, so that reading it does not block. */
     val hasWholeResponse: Boolean get() = !awaitingResponse
 
+    /** Whether one of the last [MAX_RECENT_REQUESTS] exchanges had [requestId], so that a late second answer with it may arrive. */
+    fun hasCarried(requestId: RequestId): Boolean = requestId in recentRequests
+
     /**
      * Begins an exchange; responses for which [isExpected] returns false are discarded. Returns false when the
      * connection has been closed in the meantime and nothing can be sent on it.
      */
-    fun begin(isExpected: (AnswerHead) -> Boolean): Boolean {
+    fun begin(requestId: RequestId?, isExpected: (AnswerHead) -> Boolean): Boolean {
         events.clear()
         queuedBytes.set(0)
         discardedBytes = 0
         discardedHeads = 0
         this.isExpected = isExpected
         awaitingResponse = true
+        requestId?.let(::remember)
         return channel.isActive
     }
 
+    private fun remember(requestId: RequestId) {
+        if (recentRequests.size == MAX_RECENT_REQUESTS) recentRequests.removeFirst()
+        recentRequests.addLast(requestId)
+    }
+
     /**
      * Sends [head] and [body]. Throws [IOException] when reading a streamed body fails; the connection must then be closed.
      *
@@ -220,6 +232,7 @@
         const val LOW_WATERMARK_BYTES = 65_536
         const val FIRST_FINAL_STATUS = 200
         const val MAX_DISCARDED_HEADS = 16
+        const val MAX_RECENT_REQUESTS = 32
         const val MAX_DISCARDED_BYTES = 1_048_576L
         const val MS_PER_SECOND = 1_000L
         const val DEFAULT_IDLE_TIMEOUT_MS = 4_000L
--- a/endivestep/src/main/kotlin/org/endivestep/http/HttpConnectionPool.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/http/HttpConnectionPool.kt
@@ -7,6 +7,7 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpClientCodec
+import org.endivestep.identity.RequestId
 import org.endivestep.outcome.AnswerHead
 import org.endivestep.settings.Address
 import java.io.IOException
@@ -21,17 +22,18 @@
 
     /**
      * Returns an idle or a new connection on which an exchange has begun; blocks while connecting. Responses
-     * for which [isExpected] returns false are discarded.
+     * for which [isExpected] returns false are discarded. A connection that has lately carried a request with
+     * [requestId] is passed over, because a late second answer to that one could not be told from the expected one.
      *
      * @throws IOException when the connection cannot be established
      */
-    fun begin(address: Address, isExpected: (AnswerHead) -> Boolean = { true }): HttpConnection {
+    fun begin(address: Address, requestId: RequestId? = null, isExpected: (AnswerHead) -> Boolean = { true }): HttpConnection {
         while (true) {
-            val idle = takeIdle(address) ?: break
-            if (idle.begin(isExpected)) return idle
+            val idle = takeIdle(address, requestId) ?: break
+            if (idle.begin(requestId, isExpected)) return idle
             idle.close()
         }
-        return open(address).also { it.begin(isExpected) }
+        return open(address).also { it.begin(requestId, isExpected) }
     }
 
     /** Returns [connection] to the pool after a successful exchange. */
@@ -45,11 +47,12 @@
         synchronized(idle) { idle.remove(address) }?.forEach { it.close() }
     }
 
-    private fun takeIdle(address: Address): HttpConnection? {
+    private fun takeIdle(address: Address, requestId: RequestId?): HttpConnection? {
         synchronized(idle) {
             val connections = idle[address] ?: return null
             closeExpired(connections)
-            return connections.removeLastOrNull()
+            val usable = connections.indexOfLast { requestId == null || !it.hasCarried(requestId) }
+            return if (usable >= 0) connections.removeAt(usable) else null
         }
     }
 
--- a/endivestep/src/test/kotlin/org/endivestep/egress/AnswerReaderTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/egress/AnswerReaderTest.kt
@@ -31,7 +31,7 @@
                 val channel = EmbeddedChannel()
                 val connection = HttpConnection(channel)
                 channel.pipeline().addLast(connection.Receiver())
-                connection.begin { true }
+                connection.begin(requestId = null) { true }
                 channel.writeInbound(DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK), content(), content())
                 if (case.hasEnded) channel.writeInbound(LastHttpContent.EMPTY_LAST_CONTENT)
                 (connection.next(0) as HttpResponseEvent.Head).head shouldBe AnswerHead(200, emptyList())
@@ -50,7 +50,7 @@
             val channel = EmbeddedChannel()
             val connection = HttpConnection(channel)
             channel.pipeline().addLast(connection.Receiver())
-            connection.begin { true }
+            connection.begin(requestId = null) { true }
             channel.writeInbound(DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK))
             connection.next(0)
             var leftMs = 100L
