Take nothing that came before a request was written as its answer

What callers saw: an answer without a request id that was on the connection before their request was sent.

Cause: a connection waited for an answer from the moment it left the pool, before the event loop had written the request. Nor did it notice the start of a further answer behind the end of one: the decoder held these bytes, and the rest was decoded in the next exchange.

Evidence: StrayAnswerTest, red on the code before for 181 splits of the stray answer (lengths and chunks, with and without an interim answer before it), for example "LENGTH, split at 1: 200 stray". A second copy with the id of the first request was discarded at every split before, too; this table stays as a regression test.

Why this works: the event loop alone marks an answer as awaited, when it writes the request. Bytes before that, and bytes left in the decoder at the end of an answer, close the connection. The request was then not written, which the event says, so it goes out on another connection; a connection that was not reused gives "not sent".

--- a/endivestep/src/main/kotlin/org/endivestep/egress/NettyWorkerCall.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/NettyWorkerCall.kt
@@ -40,15 +40,23 @@
     private var cancelled = false
 
     fun run(): WorkerResult {
-        val connection =
-            try {
-                connections.begin(address, attempt.requestId, ::isExpected)
-            } catch (e: IOException) {
-                return WorkerResult.NotSent(e.toString())
-            } catch (_: InterruptedException) {
-                return WorkerResult.Cancelled
-            }
-        return try {
+        while (true) {
+            val connection =
+                try {
+                    connections.begin(address, attempt.requestId, ::isExpected)
+                } catch (e: IOException) {
+                    return WorkerResult.NotSent(e.toString())
+                } catch (_: InterruptedException) {
+                    return WorkerResult.Cancelled
+                }
+            val result = runOn(connection)
+            // An idle connection that was closed just before its use says nothing about the worker.
+            if (result !is WorkerResult.NotSent || !connection.isReused) return result
+        }
+    }
+
+    private fun runOn(connection: HttpConnection): WorkerResult =
+        try {
             exchange(connection)
         } catch (_: InterruptedException) {
             cancelled = true
@@ -58,7 +66,6 @@
             connection.close()
             WorkerResult.Failed(e.toString(), timedOut = false)
         }
-    }
 
     private fun exchange(connection: HttpConnection): WorkerResult {
         if (remainingMs() <= 0) {
@@ -78,7 +85,8 @@
                 connections.closeIdle(address)
                 WorkerResult.Failed("no answer before the deadline", timedOut = true)
             }
-            is HttpResponseEvent.Failed -> WorkerResult.Failed(event.cause, timedOut = false)
+            is HttpResponseEvent.Failed ->
+                if (event.requestSent) WorkerResult.Failed(event.cause, timedOut = false) else WorkerResult.NotSent(event.cause)
             else -> {
                 connection.close()
                 WorkerResult.Failed("answer body without a head", timedOut = false)
--- a/endivestep/src/main/kotlin/org/endivestep/http/HttpConnection.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/http/HttpConnection.kt
@@ -8,8 +8,10 @@
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultLastHttpContent
 import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
@@ -19,6 +21,7 @@
 import org.endivestep.outcome.AnswerHead
 import org.endivestep.outcome.HeaderField
 import java.io.IOException
+import java.util.concurrent.Callable
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
@@ -29,9 +32,9 @@
 /**
  * Client connection that carries one request at a time.
  *
- * Data that arrives while no request is in progress belongs to no request, so the connection is closed. A
- * response for which [isExpected] returns false is discarded, up to [MAX_DISCARDED_BYTES] in an exchange, since
- * a faulty peer may send such responses without end. Not thread-safe except for [close].
+ * Data that arrives before a request is written, or after the end of its response, belongs to no request, so the
+ * connection is closed. A response for which [isExpected] returns false is discarded, up to [MAX_DISCARDED_BYTES]
+ * in an exchange, since a faulty peer may send such responses without end. Not thread-safe except for [close].
  */
 internal class HttpConnection(private val channel: Channel) {
     private val events = LinkedBlockingQueue<HttpResponseEvent>()
@@ -47,11 +50,15 @@
     @Volatile
     private var isExpected: (AnswerHead) -> Boolean = { true }
 
-    // True from the start of an exchange until the event loop has received the end of the response.
+    // True from when the event loop writes a request until it has received the end of the response. Only the event loop changes it.
     @Volatile
     private var awaitingResponse = false
 
+    // Whether the request that was written last is a HEAD request. Confined to the event loop.
+    private var answersHead = false
+    private val decoder = ResponseDecoder { answersHead }
     private val recentRequests = ArrayDeque<RequestId>()
+    private var exchanges = 0
 
     /** When the last exchange ended, by [System.nanoTime]. */
     var idleSinceNanos = 0L
@@ -64,9 +71,18 @@
 
     val isOpen: Boolean get() = channel.isActive
 
+    /** Whether an earlier exchange has taken place on this connection. */
+    val isReused: Boolean get() = exchanges > 1
+
     /** Whether the response of the current exchange has arrived to its end, so that reading it does not block. */
     val hasWholeResponse: Boolean get() = !awaitingResponse
 
+    /** Adds the handlers of this connection to the pipeline of its channel. */
+    fun addHandlers() {
+        val receiver = Receiver()
+        channel.pipeline().addLast(InputMonitor({ awaitingResponse }, receiver::fail), decoder, HttpRequestEncoder(), receiver)
+    }
+
     /** Whether one of the last [MAX_RECENT_REQUESTS] exchanges had [requestId], so that a late second answer with it may arrive. */
     fun hasCarried(requestId: RequestId): Boolean = requestId in recentRequests
 
@@ -80,7 +96,7 @@
         discardedBytes = 0
         discardedHeads = 0
         this.isExpected = isExpected
-        awaitingResponse = true
+        exchanges++
         requestId?.let(::remember)
         return channel.isActive
     }
@@ -100,25 +116,36 @@
         when (body) {
             is RequestBody.Inline -> channel.eventLoop().execute { if (isStillNeeded()) write(head, body) else skip() }
             is RequestBody.Streamed -> {
-                channel.writeAndFlush(head)
-                sendStream(body)
+                val started = channel.eventLoop().submit(Callable { start(head).also { channel.flush() } })
+                if (started.await().now == true) sendStream(body)
             }
         }
     }
 
-    private fun write(head: HttpRequest, body: RequestBody.Inline) {
+    // Returns false when the connection has been closed, after which nothing is read or written on it.
+    private fun start(head: HttpRequest): Boolean {
+        if (!channel.isActive) {
+            events.add(HttpResponseEvent.Failed("the connection was closed before the request was written", requestSent = false))
+            return false
+        }
+        answersHead = head.method() == HttpMethod.HEAD
+        awaitingResponse = true
         channel.write(head)
+        return true
+    }
+
+    private fun write(head: HttpRequest, body: RequestBody.Inline) {
+        if (!start(head)) return
         channel.writeAndFlush(DefaultLastHttpContent(Unpooled.wrappedBuffer(body.bytes))).addListener(::onWritten)
     }
 
     private fun skip() {
-        awaitingResponse = false
         events.add(HttpResponseEvent.NotSent)
     }
 
     // A failed write does not always close the connection, so it is reported here.
     private fun onWritten(written: Future<*>) {
-        if (!written.isSuccess) events.add(HttpResponseEvent.Failed("could not write the request: ${written.cause()}"))
+        if (!written.isSuccess) events.add(HttpResponseEvent.Failed("could not write the request: ${written.cause()}", requestSent = true))
     }
 
     private fun sendStream(body: RequestBody.Streamed) {
@@ -204,24 +231,29 @@
                 return
             }
             if (content.content().isReadable) deliver(HttpResponseEvent.Content(ByteBufUtil.getBytes(content.content())))
-            if (content is LastHttpContent && failure == null) {
-                awaitingResponse = false
-                deliver(HttpResponseEvent.End(reusable))
-            }
+            if (content is LastHttpContent && failure == null) end()
+        }
+
+        private fun end() {
+            awaitingResponse = false
+            val hasSurplus = decoder.undecodedBytes > 0
+            deliver(HttpResponseEvent.End(reusable && !hasSurplus))
+            if (hasSurplus) fail("received bytes after the end of the response")
         }
 
         @Deprecated("Deprecated in Java")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) = fail(cause.toString())
 
         override fun channelInactive(context: ChannelHandlerContext) {
-            if (failure == null) deliver(HttpResponseEvent.Failed("the connection was closed"))
+            fail("the connection was closed")
             super.channelInactive(context)
         }
 
-        private fun fail(cause: String) {
+        /** Reports that the connection cannot be used any more, and closes it. */
+        fun fail(cause: String) {
             if (failure != null) return
             failure = cause
-            deliver(HttpResponseEvent.Failed(cause))
+            deliver(HttpResponseEvent.Failed(cause, requestSent = awaitingResponse))
             channel.close()
         }
     }
--- a/endivestep/src/main/kotlin/org/endivestep/http/HttpConnectionPool.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/http/HttpConnectionPool.kt
@@ -6,7 +6,6 @@
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
 import org.endivestep.identity.RequestId
 import org.endivestep.outcome.AnswerHead
 import org.endivestep.settings.Address
@@ -78,8 +77,7 @@
                         override fun initChannel(channel: SocketChannel) {
                             channel.keepAlive()
                             connection = HttpConnection(channel)
-                            channel.pipeline().addLast(HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
-                            channel.pipeline().addLast(connection.Receiver())
+                            connection.addHandlers()
                         }
                     },
                 )
@@ -97,8 +95,5 @@
     private companion object {
         const val NANOS_PER_MS = 1_000_000L
         const val IDLE_MARGIN_MS = 1_000L
-        const val MAX_LINE_BYTES = 4_096
-        const val MAX_HEADER_BYTES = 65_536
-        const val MAX_CHUNK_BYTES = 16_384
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/http/HttpResponseEvent.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/http/HttpResponseEvent.kt
@@ -18,8 +18,11 @@
     /** The response ended as its framing declares; [reusable] when the connection can carry another request. */
     class End(val reusable: Boolean) : HttpResponseEvent
 
-    /** The connection failed, or received bytes that are not a valid response. */
-    class Failed(val cause: String) : HttpResponseEvent
+    /**
+     * The connection failed, or received bytes that are not a valid response. If not [requestSent], no byte of the
+     * request was sent and none will be.
+     */
+    class Failed(val cause: String, val requestSent: Boolean) : HttpResponseEvent
 
     /** The request was not sent, because it was no longer needed when the connection was ready to send it. */
     data object NotSent : HttpResponseEvent
--- /dev/null
+++ b/endivestep/src/test/kotlin/org/endivestep/egress/StrayAnswerTest.kt
@@ -0,0 +1,74 @@
+package org.endivestep.egress
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import org.endivestep.fakes.AnswerFraming
+import org.endivestep.fakes.ScriptedWorker
+import org.endivestep.fakes.WorkerCallFixture
+import org.endivestep.fakes.answerText
+import org.endivestep.fakes.workerRequest
+
+private const val INTERIM = "HTTP/1.1 102 Processing\r\n\r\n"
+
+private val keptOpen = listOf(AnswerFraming.LENGTH, AnswerFraming.CHUNKS)
+
+/**
+ * Returns a worker whose first connection carries the first [split] characters of [stray] directly behind the first answer, and the rest
+ * in front of the second one. Its other connections carry the second answer.
+ */
+private fun strayingWorker(first: String, stray: String, split: Int, second: String) =
+    ScriptedWorker {
+        readRequest()
+        if (number == 1) {
+            send(first + stray.take(split))
+            readRequest()
+            send(stray.drop(split) + second)
+        } else {
+            send(second)
+        }
+        awaitClose()
+    }
+
+class StrayAnswerTest :
+    FunSpec({
+        test("a second copy of an answer, split at any byte around the next request, is not taken as the next answer") {
+            WorkerCallFixture().use { fixture ->
+                for (framing in keptOpen) {
+                    for (interim in listOf("", INTERIM)) {
+                        val first = answerText("1", "first", framing)
+                        val copy = interim + first
+                        val second = answerText("2", "second", framing)
+                        for (split in 0..copy.length) {
+                            strayingWorker(first, copy, split, second).use { worker ->
+                                withClue("$framing, split at $split, \"$interim\" before it") {
+                                    fixture.send(worker.address, workerRequest("1")) shouldBe "200 first"
+                                    fixture.send(worker.address, workerRequest("2")) shouldBe "200 second"
+                                }
+                            }
+                        }
+                    }
+                }
+            }
+        }
+
+        // Guards against bytes that came before a request was sent being taken as the start of its answer.
+        test("an answer without an id that begins before the next request is sent is not taken as the next answer") {
+            WorkerCallFixture().use { fixture ->
+                val wrong = mutableListOf<String>()
+                for (framing in keptOpen) {
+                    for (interim in listOf("", INTERIM)) {
+                        val stray = interim + answerText(null, "stray", framing)
+                        for (split in 1..stray.length) {
+                            strayingWorker(answerText("1", "first"), stray, split, answerText("2", "second")).use { worker ->
+                                fixture.send(worker.address, workerRequest("1")) shouldBe "200 first"
+                                val result = fixture.send(worker.address, workerRequest("2"))
+                                if (result != "200 second") wrong += "$framing, split at $split, \"${interim.trim()}\" before it: $result"
+                            }
+                        }
+                    }
+                }
+                wrong shouldBe emptyList()
+            }
+        }
+    })
