Close the connection after an answer without a request id

What callers could see: the class of the fault, an answer of another request; no such caller was observed.

Cause: an answer without an id is taken as the expected one, and its connection went back to the pool while the true answer might still come.

Evidence: StrayAnswerTest, red on the code before: expected 2 connections but was 1.

Why this works: an answer can only reach exchanges on its own connection.

--- a/endivestep/src/main/kotlin/org/endivestep/egress/NettyWorkerCall.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/NettyWorkerCall.kt
@@ -97,11 +97,16 @@
     private fun isExpected(head: AnswerHead): Boolean = head.header(headers.requestId)?.let { it == attempt.requestId.text } ?: true
 
     private fun answered(connection: HttpConnection, head: AnswerHead): WorkerResult {
-        val body = AnswerReader(connection, ::remainingMs) { connections.release(address, connection) }
+        val body = AnswerReader(connection, ::remainingMs) { finish(connection, head) }
         if ((head.contentLength ?: 0) > MAX_BUFFERED_BYTES) return WorkerResult.Answered(head, body, connection::close)
         return buffered(body.readNBytes(MAX_BUFFERED_BYTES + 1), connection, head, body)
     }
 
+    // An answer without an id may belong to no request, and the expected one may still be on its way.
+    private fun finish(connection: HttpConnection, head: AnswerHead) {
+        if (head.header(headers.requestId) == null) connection.close() else connections.release(address, connection)
+    }
+
     // Reads a short answer to its end first, so that a truncation is detected before anything is forwarded.
     private fun buffered(start: ByteArray, connection: HttpConnection, head: AnswerHead, rest: AnswerReader): WorkerResult =
         if (start.size <= MAX_BUFFERED_BYTES) {
--- a/endivestep/src/test/kotlin/org/endivestep/egress/StrayAnswerTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/egress/StrayAnswerTest.kt
@@ -7,6 +7,7 @@
 import org.endivestep.fakes.ScriptedWorker
 import org.endivestep.fakes.WorkerCallFixture
 import org.endivestep.fakes.answerText
+import org.endivestep.fakes.scriptedWorker
 import org.endivestep.fakes.workerRequest
 
 private const val INTERIM = "HTTP/1.1 102 Processing\r\n\r\n"
@@ -71,4 +72,14 @@
                 wrong shouldBe emptyList()
             }
         }
+
+        // Guards against the late true answer reaching another exchange on a connection whose last answer named no request.
+        test("a connection is not used again after an answer without an id") {
+            WorkerCallFixture().use { fixture ->
+                scriptedWorker(listOf(answerText(null, "unnamed")), { awaitClose() }).use { worker ->
+                    repeat(2) { fixture.send(worker.address, workerRequest("$it")) }
+                    worker.connections shouldBe 2
+                }
+            }
+        }
     })
