Keep copies of answers to HEAD and to other requests apart

What callers could see: a part of the body of another answer, read as the answer to their request.

Cause: an answer to HEAD states the length of a body that does not follow, so the end of a discarded copy depends on the method of the request that it belongs to, which is not known. A copy of an answer with a body, before the answer to a HEAD request, was taken to have none, and its body was decoded as the next answer.

Evidence: StrayAnswerTest, red on the code before: "a copy of an answer with a body before an answer to HEAD: 200 smuggled".

Why this works: an answer to another request fails an exchange with HEAD, and a connection that has carried HEAD is not reused.

--- a/endivestep/src/main/kotlin/org/endivestep/http/HttpConnection.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/http/HttpConnection.kt
@@ -209,10 +209,15 @@
         private fun handleHead(response: HttpResponse) {
             val head = response.toHead()
             discarding = response.status().code() < FIRST_FINAL_STATUS || !isExpected(head)
-            reusable = HttpUtil.isKeepAlive(response) && !discarding
+            // A late copy of an answer to HEAD states the length of a body that does not follow.
+            reusable = HttpUtil.isKeepAlive(response) && !discarding && !answersHead
             val declaredSeconds = head.header("keep-alive")?.let { keepAliveSeconds.find(it) }?.groupValues?.get(1)?.toLongOrNull()
             if (declaredSeconds != null) idleTimeoutMs = declaredSeconds * MS_PER_SECOND
-            if (discarding) countDiscardedHead() else deliver(HttpResponseEvent.Head(head))
+            when {
+                !discarding -> deliver(HttpResponseEvent.Head(head))
+                answersHead && head.status >= FIRST_FINAL_STATUS -> fail("received an answer to another request, whose end is unknown")
+                else -> countDiscardedHead()
+            }
         }
 
         private fun countDiscardedHead() {
--- a/endivestep/src/test/kotlin/org/endivestep/egress/StrayAnswerTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/egress/StrayAnswerTest.kt
@@ -82,4 +82,34 @@
                 }
             }
         }
+
+        // Guards against the body of one answer being read as the head of another, since an answer to HEAD states a length without a body.
+        test("answers to HEAD and copies of other answers are not taken for parts of one another") {
+            val smuggled = answerText("2", "smuggled")
+            val headOfOwn = answerText("2", smuggled).removeSuffix(smuggled)
+            class Case(val name: String, val methods: List<String>, val first: String, val own: String)
+            listOf(
+                Case(
+                    "a copy of an answer with a body before an answer to HEAD",
+                    listOf("GET", "HEAD"),
+                    answerText("1", smuggled),
+                    headOfOwn,
+                ),
+                Case(
+                    "a copy of an answer to HEAD before an answer with a body",
+                    listOf("HEAD", "GET"),
+                    answerText("1", "x".repeat(headOfOwn.length)).substringBefore("x"),
+                    headOfOwn + smuggled,
+                ),
+            ).forEach { case ->
+                WorkerCallFixture().use { fixture ->
+                    strayingWorker(case.first, case.first, 0, case.own).use { worker ->
+                        fixture.send(worker.address, workerRequest("1", method = case.methods[0]))
+                        val result = fixture.send(worker.address, workerRequest("2", method = case.methods[1], remainingMs = 500))
+                        val own = "200 " + case.own.removePrefix(headOfOwn)
+                        withClue("${case.name}: $result") { (result in setOf(own, "failed", "truncated", "timed out")) shouldBe true }
+                    }
+                }
+            }
+        }
     })
