Let only the end of the worker's output end an answer without a length

What callers saw: the first part of an answer without a length as a complete success, when a write noticed the reset.

Cause: the decoder ends such an answer when the channel becomes inactive. A reset that is noticed by a read is reported before that, but one that is noticed by a write (the rest of a streamed request body) closes the channel at once, as an end of the connection does.

Evidence: CutAnswerTest, red on the code before: a success "200 the first half" where a failure is expected. Its two other tables were green before and stay as regression tests: an answer split at every byte is whole, and one cut off at every byte by an end or a reset, in three framings, is never complete.

Why this works: with half-closure the event loop reports the end of the worker's output as an event of its own. Any other end of the connection is a failure before the decoder hears of it.

--- a/endivestep/src/main/kotlin/org/endivestep/http/HttpConnectionPool.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/http/HttpConnectionPool.kt
@@ -72,6 +72,8 @@
                 .channel(NioSocketChannel::class.java)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
                 .option(ChannelOption.TCP_NODELAY, true)
+                // Tells the end of the peer's output from other ends of the connection; see [InputMonitor].
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .handler(
                     object : ChannelInitializer<SocketChannel>() {
                         override fun initChannel(channel: SocketChannel) {
