Close the connection when a request body differs from its stated length

What workers could see: the next request as the rest of a body, or the surplus of a body as a request. No way on which such a body reaches the connection is known: both ends of the crossing and the caller's server check the length. This is a second guard.

Cause: a streamed body was sent up to its end, whatever its stated length, and a worker that answers before it has read the body keeps the connection.

Why this works: bytes beyond the stated length are not sent, and a body that is too short is an error, after which the connection is closed. A write that fails closes it as well, so no later part of the body can follow a lost one.

--- a/endivestep/src/main/kotlin/org/endivestep/http/HttpConnection.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/http/HttpConnection.kt
@@ -107,7 +107,8 @@
     }
 
     /**
-     * Sends [head] and [body]. Throws [IOException] when reading a streamed body fails; the connection must then be closed.
+     * Sends [head] and [body]. Throws [IOException] when reading a streamed body fails or it differs from its stated
+     * length; the connection must then be closed.
      *
      * The thread that writes may be late, so it asks [isStillNeeded] before it writes a request with an inline body;
      * if that returns false, nothing is sent and the next event is [HttpResponseEvent.NotSent].
@@ -150,11 +151,19 @@
 
     private fun sendStream(body: RequestBody.Streamed) {
         val buffer = ByteArray(CHUNK_BYTES)
+        var length = 0L
         while (channel.isActive) {
             val count = body.stream.read(buffer)
             if (count < 0) break
-            channel.writeAndFlush(DefaultHttpContent(Unpooled.copiedBuffer(buffer, 0, count))).await()
+            length += count
+            // The peer would read bytes beyond the stated length as another request.
+            if (body.length in 0 until length) throw IOException("request body is longer than its stated ${body.length} bytes")
+            val written = channel.writeAndFlush(DefaultHttpContent(Unpooled.copiedBuffer(buffer, 0, count))).await()
+            if (!written.isSuccess) channel.close()
         }
+        if (!channel.isActive) return
+        // The peer would read the next request as the rest of the body.
+        if (length < body.length) throw IOException("request body has $length of its stated ${body.length} bytes")
         channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
     }
 
