Close the caller's connection when an answer's body differs from its stated length

What callers could see: a short answer that looks whole, or the next pipelined answer as the rest of it.

Cause: a body that ends before its stated length without a failure was sent with its own length if it was short, and without its rest if it was long. The worker's decoder and the crossing check the length, so no answer of a worker is known that would get here in this way; this is a second guard.

Bodies that end with a failure were handled rightly in all cases, in HTTP/1.0 too.

Why this works: such an answer fails like one that breaks off, so nothing follows it on the connection. Answers to HEAD and those with 204 or 304 may state a length without having a body.

--- a/endivestep/src/main/kotlin/org/endivestep/ingress/ReceivedRequest.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/ReceivedRequest.kt
@@ -1,5 +1,6 @@
 package org.endivestep.ingress
 
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpUtil
 import org.endivestep.exchange.RequestBody
@@ -57,6 +58,9 @@
 
     val keepsAlive: Boolean get() = HttpUtil.isKeepAlive(head)
 
+    /** Whether the answer states the length of a body without having one. */
+    val isHead: Boolean get() = head.method() == HttpMethod.HEAD
+
     fun toRequest(): CallerRequest {
         val body = stream?.let { RequestBody.Streamed(ReadTrackingStream(it), length) } ?: RequestBody.Inline(buffered.toByteArray())
         val headers = head.headers().map { HeaderField(it.key, it.value) }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/ServedRequest.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/ServedRequest.kt
@@ -102,6 +102,7 @@
     }
 
     private fun sendComplete(reply: CallerReply, body: ByteArray) {
+        checkLength(reply, body.size.toLong())
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(reply.status), Unpooled.wrappedBuffer(body))
         setHeaders(response.headers(), reply, body.size.toLong())
         channel.writeAndFlush(response)
@@ -112,15 +113,28 @@
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(reply.status))
         setHeaders(response.headers(), reply, length)
         var chunk = reply.body.readNBytes(CHUNK_BYTES)
+        var sent = 0L
         channel.write(response)
         while (chunk.isNotEmpty()) {
+            sent += chunk.size
+            if (length != null && sent > length) throw IOException("response body is longer than its stated $length bytes")
             val nextChunk = reply.body.readNBytes(CHUNK_BYTES)
             await(channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(chunk))))
             chunk = nextChunk
         }
+        checkLength(reply, sent)
         channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
     }
 
+    // The caller would take the next response on the connection for the rest of the body.
+    private fun checkLength(reply: CallerReply, length: Long) {
+        val stated = reply.length
+        if (stated == null || length == stated) return
+        if (length > 0 || !mayLackBody(reply)) throw IOException("response body has $length of its stated $stated bytes")
+    }
+
+    private fun mayLackBody(reply: CallerReply): Boolean = received?.isHead == true || reply.status in statusesWithoutBody
+
     private fun setHeaders(headers: HttpHeaders, reply: CallerReply, length: Long?) {
         reply.headers.forEach { headers.add(it.name, it.value) }
         if (length != null) {
@@ -138,5 +152,6 @@
     private companion object {
         const val MAX_SINGLE_WRITE_BYTES = 65_536L
         const val CHUNK_BYTES = 16_384
+        val statusesWithoutBody = setOf(204, 304)
     }
 }
