Send a caller of HTTP/1.0 an answer without a length unencoded

What such callers saw: the sizes of the chunks in the body.

Cause: every answer without a stated length was sent in chunks, which HTTP/1.0 does not know.

Evidence: BrokenAnswerTest, red on the code before: expected an empty body but was "0".

Why this works: the answer ends with the connection. One that breaks off ends with a reset instead, so that it does not look complete; an answer that names neither a length nor a coding is always the last one on its connection.

--- a/endivestep/src/main/kotlin/org/endivestep/ingress/CallerConnection.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/CallerConnection.kt
@@ -134,12 +134,15 @@
     private fun beginAnswer(response: HttpResponse) {
         // After an answer that comes before the end of the request body, the remaining bytes must not be parsed as a new request.
         val bodyIsIncomplete = receiving != null && pipeline.first?.isFor(receiving) == true
-        closesAfterAnswer = bodyIsIncomplete || pipeline.endsWithFirst(isClosing())
+        closesAfterAnswer = bodyIsIncomplete || !isDelimited(response) || pipeline.endsWithFirst(isClosing())
         if (!closesAfterAnswer) return
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         pipeline.close().drop(1).forEach { it.cancel() }
     }
 
+    private fun isDelimited(response: HttpResponse): Boolean =
+        HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
+
     private fun endAnswer(context: ChannelHandlerContext, written: ChannelPromise) {
         if (pipeline.first == null) return
         pipeline.endFirst()?.allowAnswer()
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/ReceivedRequest.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/ReceivedRequest.kt
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
 import org.endivestep.exchange.RequestBody
 import org.endivestep.exchange.monotonicMs
 import org.endivestep.outcome.HeaderField
@@ -61,6 +62,9 @@
     /** Whether the answer states the length of a body without having one. */
     val isHead: Boolean get() = head.method() == HttpMethod.HEAD
 
+    /** Whether the caller understands chunked answers, which HTTP/1.0 does not know. */
+    val understandsChunks: Boolean get() = head.protocolVersion() != HttpVersion.HTTP_1_0
+
     fun toRequest(): CallerRequest {
         val body = stream?.let { RequestBody.Streamed(ReadTrackingStream(it), length) } ?: RequestBody.Inline(buffered.toByteArray())
         val headers = head.headers().map { HeaderField(it.key, it.value) }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/ServedRequest.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/ServedRequest.kt
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelOption
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpResponse
@@ -77,10 +78,10 @@
         try {
             send(answer())
         } catch (_: InterruptedException) {
-            channel.close()
+            abort()
         } catch (e: Exception) {
             logger.info { "response failed; closing the caller's connection: $e" }
-            channel.close()
+            abort()
         } finally {
             synchronized(this) {
                 runner = null
@@ -89,6 +90,12 @@
         }
     }
 
+    // Where the end of the connection may end the response, only a reset shows that it is incomplete.
+    private fun abort() {
+        if (received?.understandsChunks == false) channel.config().setOption(ChannelOption.SO_LINGER, 0)
+        channel.close()
+    }
+
     private fun send(reply: CallerReply) {
         reply.body.use { body ->
             mayAnswer.await()
@@ -139,7 +146,7 @@
         reply.headers.forEach { headers.add(it.name, it.value) }
         if (length != null) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, length)
-        } else {
+        } else if (received?.understandsChunks != false) {
             headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
         }
     }
--- a/endivestep/src/test/kotlin/org/endivestep/ingress/BrokenAnswerTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/ingress/BrokenAnswerTest.kt
@@ -115,4 +115,15 @@
                 }
             }
         }
+
+        // Guards against chunk sizes in the body that a caller of HTTP/1.0 reads, since it knows no transfer coding.
+        test("a caller of HTTP/1.0 gets a body without a stated length unencoded, up to the end of the connection") {
+            listOf(0, 5, 100_000).forEach { size ->
+                CallerServerFixture({ CallerReply(200, emptyList(), AnswerStream(size, breaks = false), null) }).use { server ->
+                    val received = server.receive("GET /first HTTP/1.0\r\nConnection: keep-alive\r\n\r\n")
+                    received.text.substringAfter("\r\n\r\n") shouldBe "x".repeat(size)
+                    received.ending shouldBe Ending.CLOSED
+                }
+            }
+        }
     })
