--- a/endivestep/src/main/kotlin/org/endivestep/http/HttpConnection.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/http/HttpConnection.kt
@@ -8,16 +8,20 @@
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultLastHttpContent
 import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.concurrent.Future
 import org.endivestep.exchange.RequestBody
+import org.endivestep.identity.RequestId
 import org.endivestep.outcome.AnswerHead
 import org.endivestep.outcome.HeaderField
 import java.io.IOException
+import java.util.concurrent.Callable
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
@@ -28,9 +32,9 @@
 /**
  * Client connection that carries one request at a time.
  *
- * Data that arrives while no request is in progress belongs to no request, so the connection is closed. A
- * response for which [isExpected] returns false is discarded, up to [MAX_DISCARDED_BYTES] in an exchange, since
- * a faulty peer may send such responses without end. Not thread-safe except for [close].
+ * Data that arrives before a request is written, or after the end of its response, belongs to no request, so the
+ * connection is closed. A response for which [isExpected] returns false is discarded, up to [MAX_DISCARDED_BYTES]
+ * in an exchange, since a faulty peer may send such responses without end. Not thread-safe except for [close].
  */
 internal class HttpConnection(private val channel: Channel) {
     private val events = LinkedBlockingQueue<HttpResponseEvent>()
@@ -46,10 +50,16 @@
     @Volatile
     private var isExpected: (AnswerHead) -> Boolean = { true }
 
-    // True from the start of an exchange until the event loop has received the end of the response.
+    // True from when the event loop writes a request until it has received the end of the response. Only the event loop changes it.
     @Volatile
     private var awaitingResponse = false
 
+    // Whether the request that was written last is a HEAD request. Confined to the event loop.
+    private var answersHead = false
+    private val decoder = ResponseDecoder { answersHead }
+    private val recentRequests = ArrayDeque<RequestId>()
+    private var exchanges = 0
+
     /** When the last exchange ended, by [System.nanoTime]. */
     var idleSinceNanos = 0L
         private set
@@ -61,25 +71,44 @@
 
     val isOpen: Boolean get() = channel.isActive
 
+    /** Whether an earlier exchange has taken place on this connection. */
+    val isReused: Boolean get() = exchanges > 1
+
     /** Whether the response of the current exchange has arrived to its end, so that reading it does not block. */
     val hasWholeResponse: Boolean get() = !awaitingResponse
 
+    /** Adds the handlers of this connection to the pipeline of its channel. */
+    fun addHandlers() {
+        val receiver = Receiver()
+        channel.pipeline().addLast(InputMonitor({ awaitingResponse }, receiver::fail), decoder, HttpRequestEncoder(), receiver)
+    }
+
+    /** Whether one of the last [MAX_RECENT_REQUESTS] exchanges had [requestId], so that a late second answer with it may arrive. */
+    fun hasCarried(requestId: RequestId): Boolean = requestId in recentRequests
+
     /**
      * Begins an exchange; responses for which [isExpected] returns false are discarded. Returns false when the
      * connection has been closed in the meantime and nothing can be sent on it.
      */
-    fun begin(isExpected: (AnswerHead) -> Boolean): Boolean {
+    fun begin(requestId: RequestId?, isExpected: (AnswerHead) -> Boolean): Boolean {
         events.clear()
         queuedBytes.set(0)
         discardedBytes = 0
         discardedHeads = 0
         this.isExpected = isExpected
-        awaitingResponse = true
+        exchanges++
+        requestId?.let(::remember)
         return channel.isActive
     }
 
+    private fun remember(requestId: RequestId) {
+        if (recentRequests.size == MAX_RECENT_REQUESTS) recentRequests.removeFirst()
+        recentRequests.addLast(requestId)
+    }
+
     /**
-     * Sends [head] and [body]. Throws [IOException] when reading a streamed body fails; the connection must then be closed.
+     * Sends [head] and [body]. Throws [IOException] when reading a streamed body fails or it differs from its stated
+     * length; the connection must then be closed.
      *
      * The thread that writes may be late, so it asks [isStillNeeded] before it writes a request with an inline body;
      * if that returns false, nothing is sent and the next event is [HttpResponseEvent.NotSent].
@@ -88,34 +117,53 @@
         when (body) {
             is RequestBody.Inline -> channel.eventLoop().execute { if (isStillNeeded()) write(head, body) else skip() }
             is RequestBody.Streamed -> {
-                channel.writeAndFlush(head)
-                sendStream(body)
+                val started = channel.eventLoop().submit(Callable { start(head).also { channel.flush() } })
+                if (started.await().now == true) sendStream(body)
             }
         }
     }
 
-    private fun write(head: HttpRequest, body: RequestBody.Inline) {
+    // Returns false when the connection has been closed, after which nothing is read or written on it.
+    private fun start(head: HttpRequest): Boolean {
+        if (!channel.isActive) {
+            events.add(HttpResponseEvent.Failed("the connection was closed before the request was written", requestSent = false))
+            return false
+        }
+        answersHead = head.method() == HttpMethod.HEAD
+        awaitingResponse = true
         channel.write(head)
+        return true
+    }
+
+    private fun write(head: HttpRequest, body: RequestBody.Inline) {
+        if (!start(head)) return
         channel.writeAndFlush(DefaultLastHttpContent(Unpooled.wrappedBuffer(body.bytes))).addListener(::onWritten)
     }
 
     private fun skip() {
-        awaitingResponse = false
         events.add(HttpResponseEvent.NotSent)
     }
 
     // A failed write does not always close the connection, so it is reported here.
     private fun onWritten(written: Future<*>) {
-        if (!written.isSuccess) events.add(HttpResponseEvent.Failed("could not write the request: ${written.cause()}"))
+        if (!written.isSuccess) events.add(HttpResponseEvent.Failed("could not write the request: ${written.cause()}", requestSent = true))
     }
 
     private fun sendStream(body: RequestBody.Streamed) {
         val buffer = ByteArray(CHUNK_BYTES)
+        var length = 0L
         while (channel.isActive) {
             val count = body.stream.read(buffer)
             if (count < 0) break
-            channel.writeAndFlush(DefaultHttpContent(Unpooled.copiedBuffer(buffer, 0, count))).await()
+            length += count
+            // The peer would read bytes beyond the stated length as another request.
+            if (body.length in 0 until length) throw IOException("request body is longer than its stated ${body.length} bytes")
+            val written = channel.writeAndFlush(DefaultHttpContent(Unpooled.copiedBuffer(buffer, 0, count))).await()
+            if (!written.isSuccess) channel.close()
         }
+        if (!channel.isActive) return
+        // The peer would read the next request as the rest of the body.
+        if (length < body.length) throw IOException("request body has $length of its stated ${body.length} bytes")
         channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
     }
 
@@ -170,10 +218,15 @@
         private fun handleHead(response: HttpResponse) {
             val head = response.toHead()
             discarding = response.status().code() < FIRST_FINAL_STATUS || !isExpected(head)
-            reusable = HttpUtil.isKeepAlive(response) && !discarding
+            // A late copy of an answer to HEAD states the length of a body that does not follow.
+            reusable = HttpUtil.isKeepAlive(response) && !discarding && !answersHead
             val declaredSeconds = head.header("keep-alive")?.let { keepAliveSeconds.find(it) }?.groupValues?.get(1)?.toLongOrNull()
             if (declaredSeconds != null) idleTimeoutMs = declaredSeconds * MS_PER_SECOND
-            if (discarding) countDiscardedHead() else deliver(HttpResponseEvent.Head(head))
+            when {
+                !discarding -> deliver(HttpResponseEvent.Head(head))
+                answersHead && head.status >= FIRST_FINAL_STATUS -> fail("received an answer to another request, whose end is unknown")
+                else -> countDiscardedHead()
+            }
         }
 
         private fun countDiscardedHead() {
@@ -192,24 +245,29 @@
                 return
             }
             if (content.content().isReadable) deliver(HttpResponseEvent.Content(ByteBufUtil.getBytes(content.content())))
-            if (content is LastHttpContent && failure == null) {
-                awaitingResponse = false
-                deliver(HttpResponseEvent.End(reusable))
-            }
+            if (content is LastHttpContent && failure == null) end()
+        }
+
+        private fun end() {
+            awaitingResponse = false
+            val hasSurplus = decoder.undecodedBytes > 0
+            deliver(HttpResponseEvent.End(reusable && !hasSurplus))
+            if (hasSurplus) fail("received bytes after the end of the response")
         }
 
         @Deprecated("Deprecated in Java")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) = fail(cause.toString())
 
         override fun channelInactive(context: ChannelHandlerContext) {
-            if (failure == null) deliver(HttpResponseEvent.Failed("the connection was closed"))
+            fail("the connection was closed")
             super.channelInactive(context)
         }
 
-        private fun fail(cause: String) {
+        /** Reports that the connection cannot be used any more, and closes it. */
+        fun fail(cause: String) {
             if (failure != null) return
             failure = cause
-            deliver(HttpResponseEvent.Failed(cause))
+            deliver(HttpResponseEvent.Failed(cause, requestSent = awaitingResponse))
             channel.close()
         }
     }
@@ -220,6 +278,7 @@
         const val LOW_WATERMARK_BYTES = 65_536
         const val FIRST_FINAL_STATUS = 200
         const val MAX_DISCARDED_HEADS = 16
+        const val MAX_RECENT_REQUESTS = 32
         const val MAX_DISCARDED_BYTES = 1_048_576L
         const val MS_PER_SECOND = 1_000L
         const val DEFAULT_IDLE_TIMEOUT_MS = 4_000L
--- a/endivestep/src/main/kotlin/org/endivestep/http/HttpConnectionPool.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/http/HttpConnectionPool.kt
@@ -6,7 +6,7 @@
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
+import org.endivestep.identity.RequestId
 import org.endivestep.outcome.AnswerHead
 import org.endivestep.settings.Address
 import java.io.IOException
@@ -21,17 +21,18 @@
 
     /**
      * Returns an idle or a new connection on which an exchange has begun; blocks while connecting. Responses
-     * for which [isExpected] returns false are discarded.
+     * for which [isExpected] returns false are discarded. A connection that has lately carried a request with
+     * [requestId] is passed over, because a late second answer to that one could not be told from the expected one.
      *
      * @throws IOException when the connection cannot be established
      */
-    fun begin(address: Address, isExpected: (AnswerHead) -> Boolean = { true }): HttpConnection {
+    fun begin(address: Address, requestId: RequestId? = null, isExpected: (AnswerHead) -> Boolean = { true }): HttpConnection {
         while (true) {
-            val idle = takeIdle(address) ?: break
-            if (idle.begin(isExpected)) return idle
+            val idle = takeIdle(address, requestId) ?: break
+            if (idle.begin(requestId, isExpected)) return idle
             idle.close()
         }
-        return open(address).also { it.begin(isExpected) }
+        return open(address).also { it.begin(requestId, isExpected) }
     }
 
     /** Returns [connection] to the pool after a successful exchange. */
@@ -45,11 +46,12 @@
         synchronized(idle) { idle.remove(address) }?.forEach { it.close() }
     }
 
-    private fun takeIdle(address: Address): HttpConnection? {
+    private fun takeIdle(address: Address, requestId: RequestId?): HttpConnection? {
         synchronized(idle) {
             val connections = idle[address] ?: return null
             closeExpired(connections)
-            return connections.removeLastOrNull()
+            val usable = connections.indexOfLast { requestId == null || !it.hasCarried(requestId) }
+            return if (usable >= 0) connections.removeAt(usable) else null
         }
     }
 
@@ -70,13 +72,14 @@
                 .channel(NioSocketChannel::class.java)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
                 .option(ChannelOption.TCP_NODELAY, true)
+                // Tells the end of the peer's output from other ends of the connection; see [InputMonitor].
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .handler(
                     object : ChannelInitializer<SocketChannel>() {
                         override fun initChannel(channel: SocketChannel) {
                             channel.keepAlive()
                             connection = HttpConnection(channel)
-                            channel.pipeline().addLast(HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
-                            channel.pipeline().addLast(connection.Receiver())
+                            connection.addHandlers()
                         }
                     },
                 )
@@ -94,8 +97,5 @@
     private companion object {
         const val NANOS_PER_MS = 1_000_000L
         const val IDLE_MARGIN_MS = 1_000L
-        const val MAX_LINE_BYTES = 4_096
-        const val MAX_HEADER_BYTES = 65_536
-        const val MAX_CHUNK_BYTES = 16_384
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/ServedRequest.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/ServedRequest.kt
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelOption
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpResponse
@@ -77,10 +78,10 @@
         try {
             send(answer())
         } catch (_: InterruptedException) {
-            channel.close()
+            abort()
         } catch (e: Exception) {
             logger.info { "response failed; closing the caller's connection: $e" }
-            channel.close()
+            abort()
         } finally {
             synchronized(this) {
                 runner = null
@@ -89,6 +90,12 @@
         }
     }
 
+    // Where the end of the connection may end the response, only a reset shows that it is incomplete.
+    private fun abort() {
+        if (received?.understandsChunks == false) channel.config().setOption(ChannelOption.SO_LINGER, 0)
+        channel.close()
+    }
+
     private fun send(reply: CallerReply) {
         reply.body.use { body ->
             mayAnswer.await()
@@ -102,6 +109,7 @@
     }
 
     private fun sendComplete(reply: CallerReply, body: ByteArray) {
+        checkLength(reply, body.size.toLong())
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(reply.status), Unpooled.wrappedBuffer(body))
         setHeaders(response.headers(), reply, body.size.toLong())
         channel.writeAndFlush(response)
@@ -112,20 +120,33 @@
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(reply.status))
         setHeaders(response.headers(), reply, length)
         var chunk = reply.body.readNBytes(CHUNK_BYTES)
+        var sent = 0L
         channel.write(response)
         while (chunk.isNotEmpty()) {
+            sent += chunk.size
+            if (length != null && sent > length) throw IOException("response body is longer than its stated $length bytes")
             val nextChunk = reply.body.readNBytes(CHUNK_BYTES)
             await(channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(chunk))))
             chunk = nextChunk
         }
+        checkLength(reply, sent)
         channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
     }
 
+    // The caller would take the next response on the connection for the rest of the body.
+    private fun checkLength(reply: CallerReply, length: Long) {
+        val stated = reply.length
+        if (stated == null || length == stated) return
+        if (length > 0 || !mayLackBody(reply)) throw IOException("response body has $length of its stated $stated bytes")
+    }
+
+    private fun mayLackBody(reply: CallerReply): Boolean = received?.isHead == true || reply.status in statusesWithoutBody
+
     private fun setHeaders(headers: HttpHeaders, reply: CallerReply, length: Long?) {
         reply.headers.forEach { headers.add(it.name, it.value) }
         if (length != null) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, length)
-        } else {
+        } else if (received?.understandsChunks != false) {
             headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
         }
     }
@@ -138,5 +159,6 @@
     private companion object {
         const val MAX_SINGLE_WRITE_BYTES = 65_536L
         const val CHUNK_BYTES = 16_384
+        val statusesWithoutBody = setOf(204, 304)
     }
 }
