Attribute an answer to its request when its head arrives, in one place

A message without a length on a connection that stayed open held its request until the deadline, with no time left to try another worker; a short one with a length had already given its connection back to the pool. Found in a review.

attributionOf now judges the head alone: own, of another request (discarded, the expected one may follow), or unproved. An unproved answer ends the attempt at once and closes the connection, like bytes that are no answer; the log line of an attempt without an answer names the cause, the status and the headers.

--- a/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
@@ -17,7 +17,6 @@
 import org.endivestep.identity.DataCentreName
 import org.endivestep.metrics.LogEntry
 import org.endivestep.metrics.RateLimitedLog
-import org.endivestep.outcome.AnswerHead
 import org.endivestep.outcome.AttemptResult
 import org.endivestep.outcome.NotRunReason
 import org.endivestep.outcome.UnknownReason
@@ -174,20 +173,6 @@
         }
     }
 
-    private fun logMismatch(run: EgressRun, head: AnswerHead, verdict: AnswerVerdict.Mismatched) {
-        log.write {
-            val fields =
-                mapOf(
-                    "request" to run.request.requestId.text,
-                    "attempt" to run.request.attemptId.text,
-                    "cause" to verdict.cause,
-                    "status" to head.status,
-                    "headers" to head.headers.map { it.name },
-                )
-            LogEntry("the worker's answer cannot be attributed to the request", fields)
-        }
-    }
-
     private fun notifyAdmitted(permit: AdmissionLimit.Permit, onAdmitted: () -> Unit) {
         var notified = false
         try {
@@ -204,7 +189,6 @@
         val verdict = answerInterpreter.interpret(service, run.request, head)
         if (verdict is AnswerVerdict.Mismatched) {
             result.abort()
-            logMismatch(run, head, verdict)
             run.end(Completion.Failed, connectionLost = false)
             return AttemptResult.Unknown(UnknownReason.MISMATCHED_ANSWER, admission.load)
         }
--- a/endivestep/src/main/kotlin/org/endivestep/egress/NettyWorkerCall.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/NettyWorkerCall.kt
@@ -23,7 +23,8 @@
  * Returns a client for workers, based on Netty, that sends the request's metadata in the headers named by [headers].
  *
  * An answer with the id of another request is discarded, because workers may answer a request
- * twice. Jetty's client closes the connection on such an answer, which would lose the expected one.
+ * twice. Jetty's client closes the connection on such an answer, which would lose the expected one. An answer that cannot be
+ * attributed to any request ends the attempt.
  */
 internal fun nettyWorkerCall(connections: HttpConnectionPool, headers: MessageHeaders): WorkerCall =
     { worker, request -> WorkerExchange(connections, headers, worker, request).run() }
@@ -94,17 +95,23 @@
         }
     }
 
-    private fun isExpected(head: AnswerHead): Boolean = head.header(headers.requestId)?.let { it == attempt.requestId.text } ?: true
+    private fun attributionOf(head: AnswerHead) = attributionOf(attempt.requestId, head, headers)
+
+    private fun isExpected(head: AnswerHead): Boolean = attributionOf(head) != AnswerAttribution.OtherRequest
 
     private fun answered(connection: HttpConnection, head: AnswerHead): WorkerResult {
-        val body = AnswerReader(connection, ::remainingMs) { finish(connection, head) }
+        val attribution = attributionOf(head)
+        if (attribution is AnswerAttribution.Unproved) return unattributed(connection, head, attribution.cause)
+        val body = AnswerReader(connection, ::remainingMs) { connections.release(address, connection) }
         if ((head.contentLength ?: 0) > MAX_BUFFERED_BYTES) return WorkerResult.Answered(head, body, connection::close)
         return buffered(body.readNBytes(MAX_BUFFERED_BYTES + 1), connection, head, body)
     }
 
-    // An answer without an id may belong to no request, and the expected one may still be on its way.
-    private fun finish(connection: HttpConnection, head: AnswerHead) {
-        if (head.header(headers.requestId) == null) connection.close() else connections.release(address, connection)
+    // The rest of the answer is not awaited, and the true answer may still be on its way, so the connection cannot be used again.
+    private fun unattributed(connection: HttpConnection, head: AnswerHead, cause: String): WorkerResult {
+        connection.close()
+        val names = head.headers.map { it.name }
+        return WorkerResult.Failed("the answer cannot be attributed to the request: $cause; status ${head.status}, headers $names", false)
     }
 
     // Reads a short answer to its end first, so that a truncation is detected before anything is forwarded.
--- a/endivestep/src/main/kotlin/org/endivestep/egress/WorkerAnswerInterpreter.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/WorkerAnswerInterpreter.kt
@@ -13,8 +13,8 @@
     /** The worker reports that it did not run the request. */
     class NotRun(val reason: NotRunReason, val final: Boolean = false) : AnswerVerdict
 
-    /** The answer cannot be attributed to the request, because of [cause]; whether the request ran is unknown. */
-    class Mismatched(val cause: String) : AnswerVerdict
+    /** The answer belongs to another request. */
+    data object Mismatched : AnswerVerdict
 }
 
 /** How the answers of workers are interpreted. */
@@ -35,7 +35,7 @@
         interpret = { service, request, head ->
             val echoed = head.header(OutcomeHeaders.REQUEST_ID)
             when {
-                service.echoesRequestId && echoed != request.requestId.text -> AnswerVerdict.Mismatched("its request id is $echoed")
+                service.echoesRequestId && echoed != request.requestId.text -> AnswerVerdict.Mismatched
                 head.status == service.shedStatus ->
                     AnswerVerdict.NotRun(NotRunReason.WORKER_SHED, final = head.header(OutcomeHeaders.RETRY) == "no")
                 else -> AnswerVerdict.Accepted
--- a/endivestep/src/main/kotlin/org/endivestep/exchange/MessageHeaders.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/exchange/MessageHeaders.kt
@@ -12,4 +12,6 @@
     val expectedWorker: String,
     /** On a refusal: time in seconds until the request should be sent again. */
     val retryAfter: String,
+    /** On a worker's answer: proof that the worker gave it; null where workers do not sign their answers. */
+    val signature: String? = null,
 )
