Let the test of waiting short requests run on a virtual clock

The test, not the code, depended on the real clock: each request has a deadline of 90 ms from when its thread builds it, 30 ms of them pass in a sleep, so a thread that stands still for the rest is refused, and rightly so.

Ruled out by reading: a lost wake-up (admission is set and signalled under the lock and checked before a refusal), the limit (cold = max = 2, tolerance 1,000), lateness (no objective). The usual time can rise by 3% of a slow sample, which the fixed 1 ms of work excludes from the test.

Egress and EgressRun now take their clock as a function, as the admission queue did.

--- a/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
@@ -12,7 +12,6 @@
 import org.endivestep.document.Document
 import org.endivestep.document.Service
 import org.endivestep.exchange.AttemptRequest
-import org.endivestep.exchange.monotonicMs
 import org.endivestep.identity.AttemptId
 import org.endivestep.identity.DataCentreName
 import org.endivestep.metrics.LogEntry
@@ -21,6 +20,7 @@
 import org.endivestep.outcome.NotRunReason
 import org.endivestep.outcome.UnknownReason
 import org.endivestep.quarantine.SuspicionLevel
+import java.util.concurrent.TimeUnit
 
 private val logger = KotlinLogging.logger {}
 private const val FIRST_ERROR = 400
@@ -43,16 +43,17 @@
     private val answerInterpreter: WorkerAnswerInterpreter = serviceAnswerInterpreter,
     /** Processing times of the worker by kind, measured here: other daemons send kinds that this daemon never sends itself. */
     private val processingTimes: KindProfiles = KindProfiles(),
+    private val clockNanos: () -> Long = System::nanoTime,
     private val call: WorkerCall,
 ) {
-    private val log = RateLimitedLog(logger, LOG_LINES_PER_SECOND, ::monotonicMs)
+    private val log = RateLimitedLog(logger, LOG_LINES_PER_SECOND, ::nowMs)
 
     @Volatile
     private var stopping = false
 
     /** When a request was last sent to the worker or last answered by it; no probe is needed shortly after that. */
     @Volatile
-    var lastTrafficMs: Long = monotonicMs()
+    var lastTrafficMs: Long = nowMs()
         private set
 
     /** Refuses all new requests from now on. */
@@ -88,13 +89,13 @@
             worker == null || worker.announcement.service != request.service -> NotRunReason.NO_WORKER
             worker.phase == WorkerPhase.LEAVING -> NotRunReason.LEAVING
             worker.phase == WorkerPhase.DIED -> NotRunReason.WORKER_UNREACHABLE
-            request.deadline.remainingMs(monotonicMs()) <= 0 -> NotRunReason.DEADLINE_PASSED
+            request.deadline.remainingMs(nowMs()) <= 0 -> NotRunReason.DEADLINE_PASSED
             else -> null
         }
 
     // Limits the wait so that enough time remains to run the request; past that, another worker is a better choice.
     private fun admissionRequest(request: AttemptRequest, occupancy: Occupancy): AdmissionRequest {
-        val remainingMs = request.deadline.remainingMs(monotonicMs())
+        val remainingMs = request.deadline.remainingMs(nowMs())
         val workMs = processingTimes.knownMs(request.kind)?.let { completionMs(it, admission.load.slownessPercent) } ?: 0.0
         val maxWaitMs = if (workMs > 0) remainingMs - (workMs * MIN_WORK_FRACTION).toLong() else remainingMs / 2
         val hasLargeAnswer = document()?.routes?.find(request.kind)?.semantics?.hasLargeAnswer == true
@@ -116,8 +117,8 @@
             admission.release(permit, Completion.Cancelled)
             return AttemptResult.Unknown(UnknownReason.EARLIER_ATTEMPT, admission.load)
         }
-        lastTrafficMs = monotonicMs()
-        val run = EgressRun(request, worker, permit, admission, crashes)
+        lastTrafficMs = nowMs()
+        val run = EgressRun(request, worker, permit, admission, crashes, clockNanos)
         run.begin()
         return when (val result = callWorker(run, worker)) {
             is WorkerResult.Answered -> answered(run, service, result)
@@ -184,7 +185,7 @@
     }
 
     private fun answered(run: EgressRun, service: Service, result: WorkerResult.Answered): AttemptResult {
-        lastTrafficMs = monotonicMs()
+        lastTrafficMs = nowMs()
         val head = result.head
         answerInterpreter.slownessPercent(head)?.let(admission::noteSlowness)
         val verdict = answerInterpreter.interpret(service, run.request, head)
@@ -215,6 +216,8 @@
         return refuse(reason)
     }
 
+    private fun nowMs(): Long = TimeUnit.NANOSECONDS.toMillis(clockNanos())
+
     private fun refuse(reason: NotRunReason): AttemptResult = AttemptResult.NotRun(reason, admission.load)
 
     private companion object {
--- a/endivestep/src/main/kotlin/org/endivestep/egress/EgressRun.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/EgressRun.kt
@@ -13,13 +13,14 @@
     private val permit: AdmissionLimit.Permit,
     private val admission: AdmissionQueue,
     private val crashes: CrashDetector,
+    private val clockNanos: () -> Long,
 ) {
-    private val startNanos = System.nanoTime()
+    private val startNanos = clockNanos()
     private val ended = AtomicBoolean()
 
     fun begin() = crashes.begin(request)
 
-    fun elapsedMs(): Double = (System.nanoTime() - startNanos) / NANOS_PER_MS
+    fun elapsedMs(): Double = (clockNanos() - startNanos) / NANOS_PER_MS
 
     fun end(completion: Completion, connectionLost: Boolean) {
         if (!ended.compareAndSet(false, true)) return
--- a/endivestep/src/test/kotlin/org/endivestep/fakes/EgressFixture.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/fakes/EgressFixture.kt
@@ -26,6 +26,7 @@
 import org.endivestep.outcome.OutcomeHeaders
 import org.endivestep.quarantine.Quarantine
 import org.endivestep.settings.Address
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 
 /** Test fixture: an [Egress] whose calls to the worker go to the function [worker]. */
@@ -34,22 +35,31 @@
     @Volatile var document: Document? = sampleDocument(),
     dataCentre: String = "katwijk",
     quarantine: Quarantine? = null,
+    private val clockNanos: () -> Long = System::nanoTime,
     private val worker: WorkerCall,
 ) {
     val runs = AtomicInteger()
     val workers = WorkerRegistry()
-    val attempts = AttemptRegistry({ 60_000L }, ::monotonicMs)
-    val inFlight = InFlightRequests(2_000, ::monotonicMs)
+    val attempts = AttemptRegistry({ 60_000L }, ::nowMs)
+    val inFlight = InFlightRequests(2_000, ::nowMs)
     private val limits = sampleDocument().services.getValue(ServiceName(service)).limits
-    val admission = AdmissionQueue(limits, ::monotonicMs)
+    val admission = AdmissionQueue(limits, ::nowMs)
 
     @Volatile
     var workerListens = true
 
-    val quarantine = quarantine ?: Quarantine(sampleDocument().quarantine, ::monotonicMs)
+    val quarantine = quarantine ?: Quarantine(sampleDocument().quarantine, ::nowMs)
     val crashes = CrashDetector(this.quarantine, inFlight, workers, { workerListens }, { })
     val egress =
-        Egress(DataCentreName(dataCentre), { document }, admission, workers, attempts, crashes) { local, request ->
+        Egress(
+            DataCentreName(dataCentre),
+            { document },
+            admission,
+            workers,
+            attempts,
+            crashes,
+            clockNanos = clockNanos,
+        ) { local, request ->
             val result = worker(local, request)
             if (ran(result)) runs.incrementAndGet()
             result
@@ -67,6 +77,8 @@
             else -> true
         }
 
+    private fun nowMs(): Long = TimeUnit.NANOSECONDS.toMillis(clockNanos())
+
     fun announce(service: String, incarnation: String, leaving: Boolean = false) =
         workers.announce(Announcement(ServiceName(service), Address("127.0.0.1", 1), WorkerIncarnation(incarnation), leaving))
 
@@ -88,6 +100,7 @@
     fingerprint: String = "print",
     body: RequestBody = RequestBody.Inline(ByteArray(0)),
     remainingMs: Long = 5_000,
+    nowMs: Long = monotonicMs(),
 ) = AttemptRequest(
     requestId = RequestId("request"),
     attemptId = AttemptId(id),
@@ -97,6 +110,6 @@
     path = "/orders",
     headers = emptyList(),
     body = body,
-    deadline = Deadline(monotonicMs() + remainingMs),
+    deadline = Deadline(nowMs + remainingMs),
     fingerprint = Fingerprint(fingerprint),
 )
