Decide whether a waiting request runs alone when a slot is free

Cause: the four reads in flight at the death have one fingerprint, so it becomes a lone suspect, which runs alone until it is answered. The queue kept the verdict of a request's arrival: when the first copy was answered, the suspect was cleared, but the copies that waited still ran one after the other, about 45 ms each, and those left after 500 ms were refused.

Evidence: a call that its first attempt did not answer now has a log line with its attempts, which the test prints when it fails: "voorraad-1=not-run:worker-unreachable(in-flight 0 of 4, waiting 0)/215ms, voorraad-2=not-run:queue-timeout(in-flight 1 of 4, waiting 6)/630ms".

Ruled out: waiting beside the dead worker (its daemon refused all 16 as worker-unreachable after 150 to 350 ms, none by time), the rate of a cold worker (none is set), the adaptive limit (4 throughout).

The occupancy of a request is now a function that the queue calls whenever it may admit the request. It also takes effect the other way: a request that becomes a lone suspect while it waits runs alone.

Not fixed here: a request that is quarantined while it waits is still run when a slot is free.

--- a/emulator/src/test/kotlin/org/endivestep/emulator/KilledWorkerProcessTest.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/KilledWorkerProcessTest.kt
@@ -22,6 +22,11 @@
             stock1.workerProcess.destroyForcibly()
             val responses = reads.map { it.get(30, TimeUnit.SECONDS) }
             val reasons = responses.groupingBy { it.outcome() + " " + it.headers().firstValue("Endivestep-Reason").orElse("") }.eachCount()
-            withClue(reasons) { responses.forEach { it.outcome() shouldBe "answered" } }
+            withClue({ "$reasons\n" + fleet.logLines(order1, "\"attempts\"").joinToString("\n") }) {
+                responses.forEach {
+                    it.outcome() shouldBe
+                        "answered"
+                }
+            }
         }
     })
--- a/emulator/src/test/kotlin/org/endivestep/emulator/ProcessFleet.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/ProcessFleet.kt
@@ -113,6 +113,9 @@
         processes += node.workerProcess
     }
 
+    /** Returns the log lines of the daemon of [node] that contain [text]. */
+    fun logLines(node: FleetNode, text: String): List<String> = File(directory, "${node.vm}.log").readLines().filter { text in it }
+
     fun settingsFile(node: FleetNode): File = File(directory, "${node.vm}.ini")
 
     fun apply(text: String, base: Int? = null, through: FleetNode = nodes.first()): CommandRun {
--- a/endivestep/src/main/kotlin/org/endivestep/admission/AdmissionQueue.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/admission/AdmissionQueue.kt
@@ -20,7 +20,8 @@
 internal class AdmissionRequest(
     /** Longest time that the request may wait, regardless of the queue's length. */
     val maxWaitMs: Long,
-    val occupancy: Occupancy = Occupancy.SHARED,
+    /** Read whenever the request may be admitted, because it may change while the request waits. Called under the queue's lock. */
+    val occupancy: () -> Occupancy = { Occupancy.SHARED },
     val rank: RequestRank = RequestRank(),
     /** Expected processing time at the worker, 0 when unknown. */
     val workMs: Double = 0.0,
@@ -179,12 +180,13 @@
 
     private fun tryAdmit(request: AdmissionRequest): Admission? {
         if (exclusiveRunning || !hasShare(request)) return null
-        if (request.occupancy == Occupancy.ALONE && limit.load.inFlight > 0) return null
+        val occupancy = request.occupancy()
+        if (occupancy == Occupancy.ALONE && limit.load.inFlight > 0) return null
         val nowMs = clockMs()
         if (coldRateLimiter.delayMs(nowMs) > 0) return null
         val permit = limit.tryAcquire(nowMs)?.copy(hasLargeAnswer = request.hasLargeAnswer) ?: return null
         coldRateLimiter.recordSent(nowMs)
-        exclusiveRunning = request.occupancy == Occupancy.ALONE
+        exclusiveRunning = occupancy == Occupancy.ALONE
         if (request.hasLargeAnswer) largeAnswersRunning++
         onLoad()
         return Admission.Admitted(permit)
--- a/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
@@ -73,10 +73,8 @@
         val service = document()?.services?.get(request.service) ?: return refuse(NotRunReason.NO_CONFIGURATION)
         val worker = workers.worker
         refusal(request, worker)?.let { return refuse(it) }
-        val suspicionLevel = crashes.suspicionLevel(request.fingerprint)
-        if (suspicionLevel == SuspicionLevel.QUARANTINED) return refuse(NotRunReason.QUARANTINED)
-        val occupancy = if (suspicionLevel == SuspicionLevel.LONE_SUSPECT) Occupancy.ALONE else Occupancy.SHARED
-        return when (val decision = admission.admit(admissionRequest(request, occupancy))) {
+        if (crashes.suspicionLevel(request.fingerprint) == SuspicionLevel.QUARANTINED) return refuse(NotRunReason.QUARANTINED)
+        return when (val decision = admission.admit(admissionRequest(request))) {
             is Admission.Refused -> refuse(decision.reason)
             is Admission.Admitted -> runAdmitted(request, service, checkNotNull(worker), decision.permit, onAdmitted)
         }
@@ -94,14 +92,17 @@
         }
 
     // Limits the wait so that enough time remains to run the request; past that, another worker is a better choice.
-    private fun admissionRequest(request: AttemptRequest, occupancy: Occupancy): AdmissionRequest {
+    private fun admissionRequest(request: AttemptRequest): AdmissionRequest {
         val remainingMs = request.deadline.remainingMs(nowMs())
         val workMs = processingTimes.knownMs(request.kind)?.let { completionMs(it, admission.load.slownessPercent) } ?: 0.0
         val maxWaitMs = if (workMs > 0) remainingMs - (workMs * MIN_WORK_FRACTION).toLong() else remainingMs / 2
         val hasLargeAnswer = document()?.routes?.find(request.kind)?.semantics?.hasLargeAnswer == true
-        return AdmissionRequest(minOf(maxWaitMs, request.maxWaitMs), occupancy, request.rank, workMs, hasLargeAnswer)
+        return AdmissionRequest(minOf(maxWaitMs, request.maxWaitMs), { occupancy(request) }, request.rank, workMs, hasLargeAnswer)
     }
 
+    private fun occupancy(request: AttemptRequest): Occupancy =
+        if (crashes.suspicionLevel(request.fingerprint) == SuspicionLevel.LONE_SUSPECT) Occupancy.ALONE else Occupancy.SHARED
+
     private fun runAdmitted(
         request: AttemptRequest,
         service: Service,
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/CallResponder.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/CallResponder.kt
@@ -22,6 +22,7 @@
 internal class CallResponder(
     private val call: IncomingCall,
     private val counters: OutcomeCounters,
+    private val log: CallLog,
     private val completion: RequestCompletion,
 ) {
     fun respondTo(result: AttemptResult, recorder: AnswerRecorder?): Response =
@@ -97,6 +98,7 @@
     private fun recordOutcome(outcome: FinalOutcome, reason: String) {
         counters.count(OutcomeLabel(call.service.name.text, call.kind.name.text, outcome, reason))
         counters.time(call.service.name.text, monotonicMs() - call.startMs)
+        log.write(call, outcome, reason)
         completion.complete()
     }
 
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/Ingress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/Ingress.kt
@@ -34,6 +34,7 @@
     private val counters: OutcomeCounters,
 ) {
     private val active = AtomicInteger()
+    private val log = CallLog()
 
     @Volatile
     private var stopping = false
@@ -65,7 +66,7 @@
         val read = parseCall(current, request, id, monotonicMs())
         if (read is ParseResult.Refused) return refuseUnparsed(request, id, read.service, read.reason, read.detail, completion)
         val call = (read as ParseResult.Parsed).call
-        val responder = CallResponder(call, counters, completion)
+        val responder = CallResponder(call, counters, log, completion)
         if (stopping) return responder.refusedBeforeClaim(NotRunReason.LEAVING)
         return if (call.needsClaim) serveClaimed(call, responder) else serveUnclaimed(call, responder)
     }
--- a/endivestep/src/test/kotlin/org/endivestep/admission/AdmissionModelTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/admission/AdmissionModelTest.kt
@@ -126,9 +126,9 @@
         test("a suspect request runs with no other in flight") {
             val queue = AdmissionQueue(settings.copy(queueWaitMs = 0), { 0L })
             val shared = queue.admit(AdmissionRequest(0)) as Admission.Admitted
-            queue.admit(AdmissionRequest(0, Occupancy.ALONE)) shouldBe Admission.Refused(NotRunReason.OVERLOADED)
+            queue.admit(AdmissionRequest(0, { Occupancy.ALONE })) shouldBe Admission.Refused(NotRunReason.OVERLOADED)
             queue.release(shared.permit, Completion.Answered(1.0))
-            (queue.admit(AdmissionRequest(0, Occupancy.ALONE)) is Admission.Admitted) shouldBe true
+            (queue.admit(AdmissionRequest(0, { Occupancy.ALONE })) is Admission.Admitted) shouldBe true
             queue.admit(AdmissionRequest(0)) shouldBe Admission.Refused(NotRunReason.OVERLOADED)
         }
 
