Refuse at once the requests that wait for a worker that died

What callers would see: requests that wait for the rate of a cold worker were held until their wait ended, and refused with queue-timeout, although the daemon already knew that the worker was dead.

Cause: a death did not reach the admission queue. Waiting requests found out when a slot was freed and they were admitted; a slot freed by the death admits nothing while the rate of a cold worker is used up.

Evidence: DeadWorkerQueueTest, red before: "the rate of a cold worker: expected:<WORKER_UNREACHABLE> but was:<QUEUE_TIMEOUT>" after its wait of 2 s. Its cases with a slot passed before.

The queue now asks the egress whether the worker can still run a request: under its lock at arrival, so that a death between the two checks is not missed, and for all that wait when the supervisor learns of a death. The call in WorkerSupervisor has no test of its own; the fixture makes the same call.

Not changed: requests that wait for a worker that announced that it is leaving, or in a data centre that was taken out, still wait for a slot before they are refused.

--- a/endivestep/src/main/kotlin/org/endivestep/admission/AdmissionQueue.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/admission/AdmissionQueue.kt
@@ -26,6 +26,8 @@
     /** Expected processing time at the worker, 0 when unknown. */
     val workMs: Double = 0.0,
     val hasLargeAnswer: Boolean = false,
+    /** Returns the reason why the worker cannot run the request any more, or null. Called under the queue's lock. */
+    val refusal: () -> NotRunReason? = { null },
 )
 
 /** Whether a request shares the worker with others. */
@@ -92,12 +94,18 @@
             while (true) resolve(waiting.first(clockMs()) ?: break, Admission.Refused(reason))
         }
 
+    /** Refuses at once the waiting requests that the worker cannot run any more; to be called when the worker died. */
+    fun refuseUnrunnable() =
+        lock.withLock {
+            waiting.all().forEach { waiter -> waiter.request.refusal()?.let { resolve(waiter, Admission.Refused(it)) } }
+        }
+
     fun open() = lock.withLock { closeReason = null }
 
     /** Admits or refuses [request]; refuses it at once when its expected wait exceeds the longest time that it may wait. */
     fun admit(request: AdmissionRequest): Admission {
         lock.withLock {
-            closeReason?.let { return Admission.Refused(it) }
+            (closeReason ?: request.refusal())?.let { return Admission.Refused(it) }
             if (waiting.isEmpty || largeAnswersWait(request)) tryAdmit(request)?.let { return it }
             val nowMs = clockMs()
             val waiter = Waiter(request, lock.newCondition())
--- a/endivestep/src/main/kotlin/org/endivestep/admission/WaitingQueue.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/admission/WaitingQueue.kt
@@ -69,6 +69,9 @@
         waiting.remove(request)
     }
 
+    /** Returns the waiting requests in order of arrival. */
+    fun all(): List<W> = waiting.toList()
+
     /** Whether to refuse [request]: it is late, and a request that is not late is ordered before it. */
     fun refuses(request: W, nowMs: Long): Boolean {
         if (!request.isLate(nowMs)) return false
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/WorkerSupervisor.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/WorkerSupervisor.kt
@@ -80,11 +80,12 @@
         gossip.updateSelf { it.copy(worker = info) }
     }
 
-    /** Notifies peers that the worker died and of the requests that are suspected of crashing it. */
+    /** Notifies peers that the worker died and of the requests that are suspected of crashing it, and refuses those that wait for it. */
     fun workerDied(entries: List<SuspicionEntry>) {
         logger.warn { "the worker died; ${entries.size} requests in flight are suspected of crashing it" }
         workers.worker?.let(::publishWorker)
         gossip.pushUpdate(entries)
+        admission.refuseUnrunnable()
     }
 
     /** Marks [worker] as dead because nothing listens at its address, and notifies peers. */
--- a/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
@@ -84,10 +84,14 @@
         when {
             document()?.isIn(dataCentre) != true -> NotRunReason.DATA_CENTRE_OUT
             stopping -> NotRunReason.LEAVING
+            else -> workerRefusal(request, worker) ?: NotRunReason.DEADLINE_PASSED.takeIf { request.deadline.remainingMs(nowMs()) <= 0 }
+        }
+
+    private fun workerRefusal(request: AttemptRequest, worker: LocalWorker?): NotRunReason? =
+        when {
             worker == null || worker.announcement.service != request.service -> NotRunReason.NO_WORKER
             worker.phase == WorkerPhase.LEAVING -> NotRunReason.LEAVING
             worker.phase == WorkerPhase.DIED -> NotRunReason.WORKER_UNREACHABLE
-            request.deadline.remainingMs(nowMs()) <= 0 -> NotRunReason.DEADLINE_PASSED
             else -> null
         }
 
@@ -97,7 +101,9 @@
         val workMs = processingTimes.knownMs(request.kind)?.let { completionMs(it, admission.load.slownessPercent) } ?: 0.0
         val maxWaitMs = if (workMs > 0) remainingMs - (workMs * MIN_WORK_FRACTION).toLong() else remainingMs / 2
         val hasLargeAnswer = document()?.routes?.find(request.kind)?.semantics?.hasLargeAnswer == true
-        return AdmissionRequest(minOf(maxWaitMs, request.maxWaitMs), { occupancy(request) }, request.rank, workMs, hasLargeAnswer)
+        return AdmissionRequest(minOf(maxWaitMs, request.maxWaitMs), { occupancy(request) }, request.rank, workMs, hasLargeAnswer) {
+            workerRefusal(request, workers.worker)
+        }
     }
 
     private fun occupancy(request: AttemptRequest): Occupancy =
--- a/endivestep/src/test/kotlin/org/endivestep/fakes/EgressFixture.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/fakes/EgressFixture.kt
@@ -49,7 +49,7 @@
     var workerListens = true
 
     val quarantine = quarantine ?: Quarantine(sampleDocument().quarantine, ::nowMs)
-    val crashes = CrashDetector(this.quarantine, inFlight, workers, { workerListens }, { })
+    val crashes = CrashDetector(this.quarantine, inFlight, workers, { workerListens }, { admission.refuseUnrunnable() })
     val egress =
         Egress(
             DataCentreName(dataCentre),
