--- a/endivestep/src/main/kotlin/org/endivestep/admission/AdmissionQueue.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/admission/AdmissionQueue.kt
@@ -20,11 +20,14 @@
 internal class AdmissionRequest(
     /** Longest time that the request may wait, regardless of the queue's length. */
     val maxWaitMs: Long,
-    val occupancy: Occupancy = Occupancy.SHARED,
+    /** Read whenever the request may be admitted, because it may change while the request waits. Called under the queue's lock. */
+    val occupancy: () -> Occupancy = { Occupancy.SHARED },
     val rank: RequestRank = RequestRank(),
     /** Expected processing time at the worker, 0 when unknown. */
     val workMs: Double = 0.0,
     val hasLargeAnswer: Boolean = false,
+    /** Returns the reason why the worker cannot run the request any more, or null. Called under the queue's lock. */
+    val refusal: () -> NotRunReason? = { null },
 )
 
 /** Whether a request shares the worker with others. */
@@ -91,12 +94,18 @@
             while (true) resolve(waiting.first(clockMs()) ?: break, Admission.Refused(reason))
         }
 
+    /** Refuses at once the waiting requests that the worker cannot run any more; to be called when the worker died. */
+    fun refuseUnrunnable() =
+        lock.withLock {
+            waiting.all().forEach { waiter -> waiter.request.refusal()?.let { resolve(waiter, Admission.Refused(it)) } }
+        }
+
     fun open() = lock.withLock { closeReason = null }
 
     /** Admits or refuses [request]; refuses it at once when its expected wait exceeds the longest time that it may wait. */
     fun admit(request: AdmissionRequest): Admission {
         lock.withLock {
-            closeReason?.let { return Admission.Refused(it) }
+            (closeReason ?: request.refusal())?.let { return Admission.Refused(it) }
             if (waiting.isEmpty || largeAnswersWait(request)) tryAdmit(request)?.let { return it }
             val nowMs = clockMs()
             val waiter = Waiter(request, lock.newCondition())
@@ -179,12 +188,13 @@
 
     private fun tryAdmit(request: AdmissionRequest): Admission? {
         if (exclusiveRunning || !hasShare(request)) return null
-        if (request.occupancy == Occupancy.ALONE && limit.load.inFlight > 0) return null
+        val occupancy = request.occupancy()
+        if (occupancy == Occupancy.ALONE && limit.load.inFlight > 0) return null
         val nowMs = clockMs()
         if (coldRateLimiter.delayMs(nowMs) > 0) return null
         val permit = limit.tryAcquire(nowMs)?.copy(hasLargeAnswer = request.hasLargeAnswer) ?: return null
         coldRateLimiter.recordSent(nowMs)
-        exclusiveRunning = request.occupancy == Occupancy.ALONE
+        exclusiveRunning = occupancy == Occupancy.ALONE
         if (request.hasLargeAnswer) largeAnswersRunning++
         onLoad()
         return Admission.Admitted(permit)
