Log the era of the platform's store and each list of the operator's objects

Without these lines a play can't tell a watch that went on across a restore from one that began after it, nor what a list that followed contained. The era that each answer bears is recorded; nothing is decided by it yet.

--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -75,6 +75,7 @@
 import org.endivestep.quarantine.Quarantine
 import org.endivestep.settings.Address
 import org.endivestep.store.CollectionName
+import org.endivestep.store.CurrentStoreEra
 import org.endivestep.store.StoreReturnDetector
 import java.net.DatagramSocket
 import java.net.InetAddress
@@ -101,7 +102,8 @@
     private val loops = NioEventLoopGroup(EVENT_LOOP_THREADS)
     private val connections = HttpConnectionPool(loops, CONNECT_TIMEOUT_MS)
     private val security = PeerAuthentication("endivestep at ${settings.store}")
-    private val store = platformStore(settings.store, connections, STORE_TIMEOUT_MS)
+    private val storeEra = CurrentStoreEra()
+    private val store = platformStore(settings.store, connections, STORE_TIMEOUT_MS, storeEra)
     private val overrides: Overrides = Overrides(System::currentTimeMillis) { applier.overridden() }
     private val adoption: ConfigurationAdoption =
         ConfigurationAdoption({ name, text -> readOperatorDocument(name, text, documentDefaults(settings)) }) { applier.adopted(it) }
--- a/endivestep/src/main/kotlin/org/endivestep/store/CollectionFollower.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/store/CollectionFollower.kt
@@ -76,6 +76,7 @@
         when (val listed = store.list(collection, allowStale = !historyIsGone)) {
             is ListedCollection.Items -> {
                 answered()
+                logger.info { "listed ${collection.text}: ${listed.items.size} objects at revision ${listed.revision.number}" }
                 listener.onListed(listed)
                 known = listed.revision
             }
