--- a/endivestep/src/main/kotlin/org/endivestep/daemon/DaemonGauges.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/DaemonGauges.kt
@@ -36,7 +36,7 @@
     admission: AdmissionQueue,
     adoption: ConfigurationAdoption,
     crashes: CrashDetector,
-    operator: OperatorObjectsFollower,
+    store: StoreDuties,
 ) {
     metrics.gauge("endivestep.configuration.version", "Version of the configuration in force") { adoption.version.number }
     metrics.gauge("endivestep.members.alive", "Daemons thought to be alive") {
@@ -46,5 +46,5 @@
     metrics.gauge("endivestep.worker.limit", "Requests that the worker may have") { admission.load.limit }
     metrics.gauge("endivestep.worker.waiting", "Requests that wait for the worker") { admission.load.waiting }
     metrics.gauge("endivestep.quarantined", "Requests in quarantine") { crashes.quarantinedCount }
-    metrics.gauge("endivestep.store.connected", "1 while the store answers") { if (operator.isConnected) 1 else 0 }
+    metrics.gauge("endivestep.store.connected", "1 while the store answers") { if (store.isConnected) 1 else 0 }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/OperatorObjectsFollower.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/OperatorObjectsFollower.kt
@@ -53,7 +53,12 @@
         dataCentreStates.start()
     }
 
-    /** Reads both collections again, because the watches that are in progress may be silent for good. */
+    fun stop() {
+        configurations.stop()
+        dataCentreStates.stop()
+    }
+
+    /** Reads both collections again, because the watches that are in progress may be silent for good or from before a restore. */
     fun refresh() {
         configurations.refresh()
         dataCentreStates.refresh()
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -35,19 +35,15 @@
 import org.endivestep.ingress.RouteCache
 import org.endivestep.ingress.RoutedIngress
 import org.endivestep.ingress.WeightedChoice
-import org.endivestep.membership.DaemonDirectory
 import org.endivestep.membership.Gossip
 import org.endivestep.membership.GossipAction
 import org.endivestep.membership.GossipProtocol
 import org.endivestep.membership.MemberInfo
 import org.endivestep.membership.MemberState
-import org.endivestep.membership.SharedTask
-import org.endivestep.membership.assignedMembers
 import org.endivestep.membership.newDaemonIncarnation
 import org.endivestep.metrics.DaemonMetrics
 import org.endivestep.metrics.OutcomeCounters
 import org.endivestep.outcome.AttemptResult
-import org.endivestep.platform.OperatorObjects
 import org.endivestep.platform.PlatformSettings
 import org.endivestep.platform.healthCall
 import org.endivestep.platform.heartbeatEndpoint
@@ -74,9 +70,9 @@
 import org.endivestep.protocol.toInfo
 import org.endivestep.quarantine.Quarantine
 import org.endivestep.settings.Address
-import org.endivestep.store.CollectionName
 import org.endivestep.store.CurrentStoreEra
-import org.endivestep.store.StoreReturnDetector
+import org.endivestep.store.StoreEra
+import org.endivestep.store.firstStoreEra
 import java.net.DatagramSocket
 import java.net.InetAddress
 import java.util.random.RandomGenerator
@@ -102,7 +98,7 @@
     private val loops = NioEventLoopGroup(EVENT_LOOP_THREADS)
     private val connections = HttpConnectionPool(loops, CONNECT_TIMEOUT_MS)
     private val security = PeerAuthentication("endivestep at ${settings.store}")
-    private val storeEra = CurrentStoreEra()
+    private val storeEra: CurrentStoreEra = CurrentStoreEra { storeDuties.restored() }
     private val store = platformStore(settings.store, connections, STORE_TIMEOUT_MS, storeEra)
     private val overrides: Overrides = Overrides(System::currentTimeMillis) { applier.overridden() }
     private val adoption: ConfigurationAdoption =
@@ -128,16 +124,14 @@
     private val channels = PeerChannels(security, loops)
     private val exchanges = ExchangeClient(channels, pools.uploads)
     private val control = ControlClient(channels)
-    private val protocol = GossipProtocol(initialMemberInfo(), random, overrides = overrides::entries) { adoption.version }
+    private val protocol =
+        GossipProtocol(initialMemberInfo(), random, overrides = overrides::entries, storeEra = ::knownEra) { adoption.version }
     private val gossip: Gossip = Gossip(protocol, GossipCodec(security), udpSocket(), ::monotonicMs, ::handleGossipAction)
     private val supervisor: WorkerSupervisor = WorkerSupervisor(workers, admission, crashes, inFlight, gossip, ::document)
     private val applier: ConfigurationApplier =
         ConfigurationApplier(settings.dataCentre, overrides, quarantine, supervisor, admission, gossip)
     private val fetcher = ConfigurationFetcher(adoption, control::fetchConfiguration, adoption::offerAndLog)
-    private val directory = DaemonDirectory(store, gossip, random, ::synchronizeWith)
-    private val operator = OperatorObjectsFollower(store, random, adoption, overrides)
-    private val storeReturn =
-        StoreReturnDetector(store, CollectionName(OperatorObjects.DATA_CENTRES_OUT), ::checksStore, operator::refresh)
+    private val storeDuties: StoreDuties = StoreDuties(store, gossip, random, adoption, overrides, ::synchronizeWith)
     private val heartbeatReceiver = HeartbeatReceiver(settings.service, settings.worker, workers, supervisor)
     private val retryDelays = RetryDelays(profiles, random)
     private val estimates = CompletionEstimates(profiles, ::monotonicMs)
@@ -207,16 +201,14 @@
         heartbeatListener.start()
         readiness.start()
         if (settings.metricsPort != 0) metricsListener.start()
-        registerPlatformGauges(metrics, gossip, admission, adoption, crashes, operator)
+        registerPlatformGauges(metrics, gossip, admission, adoption, crashes, storeDuties)
         metrics.gauge("endivestep.log.lines.left.out", "Lines on requests that were not written, to keep their bound") {
             ingress.logLinesLeftOut
         }
         admissionNotices.start()
         innerServer.start()
         gossip.start()
-        operator.start()
-        storeReturn.start()
-        directory.start()
+        storeDuties.start()
         fetcher.start()
         admission.onLoad = notices::onLoadChanged
         notices.start()
@@ -242,11 +234,6 @@
         logger.info { "the settings file was read again" }
     }
 
-    private fun checksStore(): Boolean {
-        val alive = gossip.members.filter { it.state == MemberState.ALIVE && it.dataCentre == settings.dataCentre }
-        return settings.vm in assignedMembers(alive.map { it.vm }, SharedTask.STORE_CHECK, STORE_CHECKS_PER_DATA_CENTRE)
-    }
-
     private fun isReady(): Boolean = !stopping && adoption.active != null
 
     private fun document(): Document? = overrides.document
@@ -268,10 +255,13 @@
             is GossipAction.FetchConfiguration -> fetcher.fetchFrom(action.peer)
             is GossipAction.Suspicions -> crashes.merge(action.entries)
             is GossipAction.Overrides -> overrides.merge(action.entries)
+            is GossipAction.StoreRestored -> storeEra.observe(action.era, "another daemon")
             is GossipAction.Send -> error("Send actions must be handled by Gossip")
         }
     }
 
+    private fun knownEra(): StoreEra = storeEra.era ?: firstStoreEra
+
     private fun synchronizeWith(peer: Address) {
         val state = control.synchronize(peer, gossip.members, gossip.self) ?: return
         gossip.mergeAll(state.membersList.mapNotNull { it.toInfo() })
@@ -300,7 +290,6 @@
     private companion object {
         val defaultCallerLimits = CallerLimits()
 
-        const val STORE_CHECKS_PER_DATA_CENTRE = 1
         const val MAX_REROUTES = 3
         const val REROUTE_MAX_QUEUE_WAIT_MS = 60L
     }
--- a/endivestep/src/main/kotlin/org/endivestep/membership/GossipProtocol.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/membership/GossipProtocol.kt
@@ -5,44 +5,13 @@
 import org.endivestep.identity.VmName
 import org.endivestep.quarantine.SuspicionEntry
 import org.endivestep.settings.Address
+import org.endivestep.store.StoreEra
+import org.endivestep.store.firstStoreEra
 import java.util.random.RandomGenerator
 
-/** Kind of a gossip message. */
-internal enum class GossipType { PING, ACK, PING_REQUEST, UPDATE }
-
-/** One datagram between daemons. Messages of every type carry piggybacked updates. */
-internal data class GossipMessage(
-    val type: GossipType,
-    val from: VmName,
-    val sequence: Long,
-    val target: VmName?,
-    val configurationVersion: ConfigurationVersion,
-    val members: List<MemberInfo>,
-    val suspicions: List<SuspicionEntry>,
-    val overrides: List<DataCentreOverride>,
-    val digest: Long,
-)
-
-/** Action requested by the protocol. */
-internal sealed interface GossipAction {
-    data class Send(val to: Address, val message: GossipMessage) : GossipAction
-
-    /** Exchange full membership tables with [peer], because the digests keep differing or the peer is unknown. */
-    data class Synchronize(val peer: Address) : GossipAction
-
-    /** [peer] has a newer configuration. */
-    data class FetchConfiguration(val peer: Address) : GossipAction
-
-    /** New suspicions received from another daemon. */
-    data class Suspicions(val entries: List<SuspicionEntry>) : GossipAction
-
-    /** Received overrides, at least one of which this daemon does not have. */
-    data class Overrides(val entries: List<DataCentreOverride>) : GossipAction
-}
-
 /**
  * SWIM membership protocol: random probes, indirect probes, suspicion before death, and piggybacked updates.
- * Every message also carries the sender's configuration version and its overrides.
+ * Every message also carries the sender's configuration version, the era of the store, and its overrides.
  *
  * A pure state machine: it is passed events with the current time in ms, and returns actions. Not thread-safe.
  */
@@ -51,6 +20,7 @@
     private val random: RandomGenerator,
     private val settings: GossipSettings = GossipSettings(),
     private val overrides: () -> List<DataCentreOverride> = { emptyList() },
+    private val storeEra: () -> StoreEra = { firstStoreEra },
     private val configurationVersion: () -> ConfigurationVersion,
 ) {
     private class Probe(val target: MemberInfo, val sentMs: Long, var indirect: Boolean)
@@ -138,6 +108,7 @@
         if (newSuspicions.isNotEmpty()) actions += GossipAction.Suspicions(newSuspicions)
         if (updates.isNotEmpty() || newSuspicions.isNotEmpty()) actions += push()
         if (!overrides().containsAll(message.overrides)) actions += GossipAction.Overrides(message.overrides)
+        if (message.storeEra > storeEra()) actions += GossipAction.StoreRestored(message.storeEra)
         if (message.configurationVersion > configurationVersion()) actions += GossipAction.FetchConfiguration(source)
         actions += respond(message, source, isIntroduction)
         actions += compareDigest(message, source, nowMs)
@@ -273,6 +244,7 @@
             sequence = sequence,
             target = target,
             configurationVersion = configurationVersion(),
+            storeEra = storeEra(),
             members = updates + listOfNotNull(subjectEntry, self),
             suspicions = suspicions.take(),
             overrides = overrides(),
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/GossipCodec.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/GossipCodec.kt
@@ -20,6 +20,7 @@
 import org.endivestep.protocol.v1.Suspicion
 import org.endivestep.quarantine.SuspicionEntry
 import org.endivestep.settings.Address
+import org.endivestep.store.StoreEra
 
 private val wireTypes =
     mapOf(
@@ -104,6 +105,7 @@
             .setFrom(from.text)
             .setSequence(sequence)
             .setConfigurationVersion(configurationVersion.number)
+            .setStoreEra(storeEra.number)
             .setDigest(digest)
             .addAllMembers(members.map { it.toWire() })
             .addAllSuspicions(suspicions.map { it.toWire() })
@@ -120,6 +122,7 @@
         sequence = sequence,
         target = VmName(target).takeIf { target.isNotEmpty() },
         configurationVersion = ConfigurationVersion(configurationVersion),
+        storeEra = StoreEra(storeEra),
         members = membersList.mapNotNull { it.toInfo() },
         suspicions = suspicionsList.map { it.toEntry() },
         overrides = overridesList.mapNotNull { it.toOverride() },
--- a/endivestep/src/main/kotlin/org/endivestep/store/CollectionFollower.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/store/CollectionFollower.kt
@@ -12,13 +12,18 @@
     /** Called with all objects after the first listing and whenever changes may have been missed. */
     val onListed: (ListedCollection.Items) -> Unit,
     val onChanged: (CollectionEvent) -> Unit,
+    /** Called after every watch that was answered, when all changes up to the given revision were reported. */
+    val onUpToDate: (StoreRevision) -> Unit = {},
+    /** Longest time in ms until [onUpToDate] is to be called again. */
+    val maxWatchMs: () -> Long = { Long.MAX_VALUE },
 )
 
 /**
  * Follows one collection: lists it, then watches for changes, and lists it again when the store no longer has the changes since then.
  *
- * A list may be old, which costs the store less: the watch that follows returns at once what has changed since. Only when
- * the store no longer has those changes must the next list be current.
+ * A list may be old, which costs the store less: the watch that follows returns at once what has changed since. When the
+ * store no longer has those changes, or was restored from a copy, the next list must be current: an old one may show the
+ * state before the restore, and its revision may have been given out again.
  */
 internal class CollectionFollower(
     private val store: ObjectCollections,
@@ -28,11 +33,9 @@
     private val pause: (Long) -> Unit = Thread::sleep,
 ) {
     private val backoff = ExponentialBackoff(FIRST_PAUSE_MS, MAX_PAUSE_MS, random)
+    private val refresh = RefreshSignal { loop?.interrupt() }
     private var known: StoreRevision? = null
-    private var historyIsGone = false
-
-    @Volatile
-    private var refreshing = false
+    private var mustBeCurrent = false
     private var loop: BackgroundLoop? = null
 
     /** Whether the last call to the store was answered. */
@@ -48,62 +51,68 @@
         loop?.stop()
     }
 
-    /** Ends the call to the store that is in progress, which may be silent for good, and lists the collection again. */
-    fun refresh() {
-        refreshing = true
-        loop?.interrupt()
-    }
+    /** Ends a watch that is in progress, which may be silent for good, and lists the collection again. */
+    fun refresh() = refresh.request()
 
     /** Makes one call to the store and handles the answer. Every answer without changes is followed by a pause. */
     fun step() {
-        try {
-            val since = known
-            if (since == null) list() else watch(since)
-        } catch (e: InterruptedException) {
-            if (!refreshing) throw e
-            logger.info { "ending the call to the store for ${collection.text} to list it again" }
-            requireCurrentList()
-        }
-        refreshing = false
+        if (refresh.take()) requireCurrentList("a refresh was requested")
+        val since = known
+        if (since == null) list() else watch(since)
     }
 
-    private fun requireCurrentList() {
+    private fun requireCurrentList(cause: String) {
+        logger.info { "listing ${collection.text} again: $cause" }
         known = null
-        historyIsGone = true
+        mustBeCurrent = true
     }
 
     private fun list() {
-        when (val listed = store.list(collection, allowStale = !historyIsGone)) {
+        val allowStale = !mustBeCurrent
+        when (val listed = store.list(collection, allowStale)) {
             is ListedCollection.Items -> {
                 answered()
-                logger.info { "listed ${collection.text}: ${listed.items.size} objects at revision ${listed.revision.number}" }
-                listener.onListed(listed)
-                known = listed.revision
+                if (allowStale && listed.revision.era > firstStoreEra) {
+                    requireCurrentList("a list that may be old may be from before the store was restored")
+                } else {
+                    logger.info { "listed ${collection.text}: ${listed.items.size} objects at revision ${listed.revision}" }
+                    listener.onListed(listed)
+                    known = listed.revision
+                }
             }
             is ListedCollection.Unavailable -> failed(listed.cause)
         }
     }
 
     private fun watch(since: StoreRevision) {
-        when (val watched = store.watch(collection, since, WATCH_MS)) {
+        val watchMs = minOf(WATCH_MS, listener.maxWatchMs())
+        when (val watched = refresh.interruptible { store.watch(collection, since, watchMs) } ?: return) {
             is WatchedCollection.Events -> {
                 answered()
-                backoff.reset()
-                historyIsGone = false
-                watched.events.forEach(listener.onChanged)
-                known = watched.revision
-                // Prevents a busy loop when the store answers watches immediately without changes.
-                if (watched.events.isEmpty()) pause(EMPTY_PAUSE_MS)
+                if (watched.revision.era == since.era) {
+                    report(watched)
+                } else {
+                    requireCurrentList("the answer to a watch from $since is from ${watched.revision}")
+                }
             }
             WatchedCollection.HistoryGone -> {
-                logger.info { "the store no longer has the changes of ${collection.text} since revision ${since.number}; listing it again" }
-                requireCurrentList()
-                pause(backoff.nextDelayMs())
+                requireCurrentList("the store no longer has the changes since revision $since")
+                pauseUntilRefresh(backoff.nextDelayMs())
             }
             is WatchedCollection.Unavailable -> failed(watched.cause)
         }
     }
 
+    private fun report(watched: WatchedCollection.Events) {
+        backoff.reset()
+        mustBeCurrent = false
+        watched.events.forEach(listener.onChanged)
+        known = watched.revision
+        listener.onUpToDate(watched.revision)
+        // Prevents a busy loop when the store answers watches immediately without changes.
+        if (watched.events.isEmpty()) pauseUntilRefresh(EMPTY_PAUSE_MS)
+    }
+
     // Only a watch resets the backoff, because a listing whose history is gone at once would otherwise be repeated in a busy loop.
     private fun answered() {
         if (!isConnected) logger.info { "the store answers for ${collection.text}" }
@@ -113,7 +122,11 @@
     private fun failed(cause: String) {
         if (isConnected) logger.warn { "the store does not answer for ${collection.text}: $cause" }
         isConnected = false
-        pause(backoff.nextDelayMs())
+        pauseUntilRefresh(backoff.nextDelayMs())
+    }
+
+    private fun pauseUntilRefresh(durationMs: Long) {
+        refresh.interruptible { pause(durationMs) }
     }
 
     private companion object {
--- a/endivestep/src/main/kotlin/org/endivestep/store/ObjectCollections.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/store/ObjectCollections.kt
@@ -4,10 +4,11 @@
 @JvmInline
 internal value class CollectionName(val text: String)
 
-/** Revision of the store, which every change increases. */
-@JvmInline
-internal value class StoreRevision(val number: Long) : Comparable<StoreRevision> {
-    override fun compareTo(other: StoreRevision): Int = number.compareTo(other.number)
+/** Revision of the store, which every change increases; a restore of the store begins a new era and sets [number] back. */
+internal data class StoreRevision(val number: Long, val era: StoreEra = firstStoreEra) : Comparable<StoreRevision> {
+    override fun compareTo(other: StoreRevision): Int = compareValuesBy(this, other, { it.era }, { it.number })
+
+    override fun toString(): String = "$number of era ${era.number}"
 }
 
 /** An object of a collection: [text] is its content, [revision] that of its last change. */
--- a/endivestep/src/test/kotlin/org/endivestep/membership/GossipModelTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/membership/GossipModelTest.kt
@@ -108,7 +108,7 @@
                 is GossipAction.Send -> send(from, action)
                 is GossipAction.FetchConfiguration -> fetch(from, action.peer.port)
                 is GossipAction.Synchronize -> synchronize(from, action.peer.port)
-                is GossipAction.Suspicions, is GossipAction.Overrides -> Unit
+                is GossipAction.Suspicions, is GossipAction.Overrides, is GossipAction.StoreRestored -> Unit
             }
         }
     }
--- a/endivestep/src/test/kotlin/org/endivestep/membership/GossipScalingTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/membership/GossipScalingTest.kt
@@ -97,7 +97,7 @@
             when (action) {
                 is GossipAction.Send -> send(from, action)
                 is GossipAction.FetchConfiguration -> fetch(from, action.peer.port)
-                is GossipAction.Synchronize, is GossipAction.Suspicions, is GossipAction.Overrides -> Unit
+                is GossipAction.Synchronize, is GossipAction.Suspicions, is GossipAction.Overrides, is GossipAction.StoreRestored -> Unit
             }
         }
 
--- a/endivestep/src/test/kotlin/org/endivestep/store/CollectionFollowerTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/store/CollectionFollowerTest.kt
@@ -93,4 +93,44 @@
                 withClue(case.name) { store.staleLists shouldBe case.staleLists }
             }
         }
+
+        // Guards against a list from before a restore, or events after it, that are taken for a continuation.
+        test("after a restore the next list is current, and the events of a watch from before it are not used") {
+            fun at(era: Long) = StoreRevision(7, StoreEra(era))
+
+            fun events(era: Long) =
+                WatchedCollection.Events(listOf(CollectionEvent(CollectionItem("main", at(era), "event"), deleted = false)), at(era))
+            class Case(
+                val name: String,
+                val lists: List<Long>,
+                val watches: List<Long>,
+                val staleLists: List<Boolean>,
+                val seen: List<String>,
+            )
+            listOf(
+                Case("never restored", listOf(0), listOf(0), listOf(true), listOf("list", "event")),
+                Case("restored before the first list", listOf(1, 1), listOf(1), listOf(true, false), listOf("list", "event")),
+                Case("restored during a watch", listOf(0, 1), listOf(1, 1), listOf(true, false), listOf("list", "list", "event")),
+                Case(
+                    "restored twice",
+                    listOf(0, 1, 2),
+                    listOf(1, 2, 2),
+                    listOf(true, false, false),
+                    listOf("list", "list", "list", "event"),
+                ),
+            ).forEach { case ->
+                val seen = mutableListOf<String>()
+                val lists = ArrayDeque(case.lists)
+                val watches = ArrayDeque(case.watches)
+                val store =
+                    ScriptedCollections({ ListedCollection.Items(emptyList(), at(lists.removeFirst())) }, { events(watches.removeFirst()) })
+                val listener = CollectionListener({ seen += "list" }, { seen += it.item.text })
+                val follower = CollectionFollower(store, CollectionName("config"), SplittableRandom(1), listener) { }
+                while (watches.isNotEmpty()) follower.step()
+                withClue(case.name) {
+                    store.staleLists shouldBe case.staleLists
+                    seen shouldBe case.seen
+                }
+            }
+        }
     })
--- a/protocol/src/main/java/org/endivestep/protocol/v1/ConfigurationRecord.java
+++ b/protocol/src/main/java/org/endivestep/protocol/v1/ConfigurationRecord.java
@@ -187,6 +187,32 @@
     return latestStates_.get(index);
   }
 
+  public static final int STORE_ERA_FIELD_NUMBER = 5;
+  private long storeEra_ = 0L;
+  /**
+   * <pre>
+   * Position in the store, where versions may be given out again.
+   * </pre>
+   *
+   * <code>int64 store_era = 5;</code>
+   * @return The storeEra.
+   */
+  @java.lang.Override
+  public long getStoreEra() {
+    return storeEra_;
+  }
+
+  public static final int STORE_REVISION_FIELD_NUMBER = 6;
+  private long storeRevision_ = 0L;
+  /**
+   * <code>int64 store_revision = 6;</code>
+   * @return The storeRevision.
+   */
+  @java.lang.Override
+  public long getStoreRevision() {
+    return storeRevision_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -213,6 +239,12 @@
     for (int i = 0; i < latestStates_.size(); i++) {
       output.writeMessage(4, latestStates_.get(i));
     }
+    if (storeEra_ != 0L) {
+      output.writeInt64(5, storeEra_);
+    }
+    if (storeRevision_ != 0L) {
+      output.writeInt64(6, storeRevision_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -237,6 +269,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(4, latestStates_.get(i));
     }
+    if (storeEra_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(5, storeEra_);
+    }
+    if (storeRevision_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(6, storeRevision_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -263,6 +303,10 @@
     }
     if (!getLatestStatesList()
         .equals(other.getLatestStatesList())) return false;
+    if (getStoreEra()
+        != other.getStoreEra()) return false;
+    if (getStoreRevision()
+        != other.getStoreRevision()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -287,6 +331,12 @@
       hash = (37 * hash) + LATEST_STATES_FIELD_NUMBER;
       hash = (53 * hash) + getLatestStatesList().hashCode();
     }
+    hash = (37 * hash) + STORE_ERA_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getStoreEra());
+    hash = (37 * hash) + STORE_REVISION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getStoreRevision());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -443,6 +493,8 @@
         latestStatesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000008);
+      storeEra_ = 0L;
+      storeRevision_ = 0L;
       return this;
     }
 
@@ -502,6 +554,12 @@
             : changeBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.storeEra_ = storeEra_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.storeRevision_ = storeRevision_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -554,6 +612,12 @@
           }
         }
       }
+      if (other.getStoreEra() != 0L) {
+        setStoreEra(other.getStoreEra());
+      }
+      if (other.getStoreRevision() != 0L) {
+        setStoreRevision(other.getStoreRevision());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -610,6 +674,16 @@
               }
               break;
             } // case 34
+            case 40: {
+              storeEra_ = input.readInt64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
+            case 48: {
+              storeRevision_ = input.readInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1164,6 +1238,82 @@
       return latestStatesBuilder_;
     }
 
+    private long storeEra_ ;
+    /**
+     * <pre>
+     * Position in the store, where versions may be given out again.
+     * </pre>
+     *
+     * <code>int64 store_era = 5;</code>
+     * @return The storeEra.
+     */
+    @java.lang.Override
+    public long getStoreEra() {
+      return storeEra_;
+    }
+    /**
+     * <pre>
+     * Position in the store, where versions may be given out again.
+     * </pre>
+     *
+     * <code>int64 store_era = 5;</code>
+     * @param value The storeEra to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStoreEra(long value) {
+
+      storeEra_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Position in the store, where versions may be given out again.
+     * </pre>
+     *
+     * <code>int64 store_era = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStoreEra() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      storeEra_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long storeRevision_ ;
+    /**
+     * <code>int64 store_revision = 6;</code>
+     * @return The storeRevision.
+     */
+    @java.lang.Override
+    public long getStoreRevision() {
+      return storeRevision_;
+    }
+    /**
+     * <code>int64 store_revision = 6;</code>
+     * @param value The storeRevision to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStoreRevision(long value) {
+
+      storeRevision_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 store_revision = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStoreRevision() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      storeRevision_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:endivestep.v1.ConfigurationRecord)
   }
 
--- a/protocol/src/main/java/org/endivestep/protocol/v1/ConfigurationRecordOrBuilder.java
+++ b/protocol/src/main/java/org/endivestep/protocol/v1/ConfigurationRecordOrBuilder.java
@@ -86,4 +86,20 @@
    */
   org.endivestep.protocol.v1.OverrideOrBuilder getLatestStatesOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Position in the store, where versions may be given out again.
+   * </pre>
+   *
+   * <code>int64 store_era = 5;</code>
+   * @return The storeEra.
+   */
+  long getStoreEra();
+
+  /**
+   * <code>int64 store_revision = 6;</code>
+   * @return The storeRevision.
+   */
+  long getStoreRevision();
 }
--- a/protocol/src/main/java/org/endivestep/protocol/v1/ConfigurationRequest.java
+++ b/protocol/src/main/java/org/endivestep/protocol/v1/ConfigurationRequest.java
@@ -54,6 +54,32 @@
     return knownVersion_;
   }
 
+  public static final int KNOWN_ERA_FIELD_NUMBER = 2;
+  private long knownEra_ = 0L;
+  /**
+   * <pre>
+   * Position of the known version in the store, where versions may be given out again.
+   * </pre>
+   *
+   * <code>int64 known_era = 2;</code>
+   * @return The knownEra.
+   */
+  @java.lang.Override
+  public long getKnownEra() {
+    return knownEra_;
+  }
+
+  public static final int KNOWN_REVISION_FIELD_NUMBER = 3;
+  private long knownRevision_ = 0L;
+  /**
+   * <code>int64 known_revision = 3;</code>
+   * @return The knownRevision.
+   */
+  @java.lang.Override
+  public long getKnownRevision() {
+    return knownRevision_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -71,6 +97,12 @@
     if (knownVersion_ != 0L) {
       output.writeInt64(1, knownVersion_);
     }
+    if (knownEra_ != 0L) {
+      output.writeInt64(2, knownEra_);
+    }
+    if (knownRevision_ != 0L) {
+      output.writeInt64(3, knownRevision_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -84,6 +116,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(1, knownVersion_);
     }
+    if (knownEra_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(2, knownEra_);
+    }
+    if (knownRevision_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(3, knownRevision_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -101,6 +141,10 @@
 
     if (getKnownVersion()
         != other.getKnownVersion()) return false;
+    if (getKnownEra()
+        != other.getKnownEra()) return false;
+    if (getKnownRevision()
+        != other.getKnownRevision()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -115,6 +159,12 @@
     hash = (37 * hash) + KNOWN_VERSION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getKnownVersion());
+    hash = (37 * hash) + KNOWN_ERA_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getKnownEra());
+    hash = (37 * hash) + KNOWN_REVISION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getKnownRevision());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -247,6 +297,8 @@
       super.clear();
       bitField0_ = 0;
       knownVersion_ = 0L;
+      knownEra_ = 0L;
+      knownRevision_ = 0L;
       return this;
     }
 
@@ -283,6 +335,12 @@
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.knownVersion_ = knownVersion_;
       }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.knownEra_ = knownEra_;
+      }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.knownRevision_ = knownRevision_;
+      }
     }
 
     @java.lang.Override
@@ -300,6 +358,12 @@
       if (other.getKnownVersion() != 0L) {
         setKnownVersion(other.getKnownVersion());
       }
+      if (other.getKnownEra() != 0L) {
+        setKnownEra(other.getKnownEra());
+      }
+      if (other.getKnownRevision() != 0L) {
+        setKnownRevision(other.getKnownRevision());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -331,6 +395,16 @@
               bitField0_ |= 0x00000001;
               break;
             } // case 8
+            case 16: {
+              knownEra_ = input.readInt64();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 16
+            case 24: {
+              knownRevision_ = input.readInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -380,6 +454,82 @@
       return this;
     }
 
+    private long knownEra_ ;
+    /**
+     * <pre>
+     * Position of the known version in the store, where versions may be given out again.
+     * </pre>
+     *
+     * <code>int64 known_era = 2;</code>
+     * @return The knownEra.
+     */
+    @java.lang.Override
+    public long getKnownEra() {
+      return knownEra_;
+    }
+    /**
+     * <pre>
+     * Position of the known version in the store, where versions may be given out again.
+     * </pre>
+     *
+     * <code>int64 known_era = 2;</code>
+     * @param value The knownEra to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKnownEra(long value) {
+
+      knownEra_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Position of the known version in the store, where versions may be given out again.
+     * </pre>
+     *
+     * <code>int64 known_era = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearKnownEra() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      knownEra_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long knownRevision_ ;
+    /**
+     * <code>int64 known_revision = 3;</code>
+     * @return The knownRevision.
+     */
+    @java.lang.Override
+    public long getKnownRevision() {
+      return knownRevision_;
+    }
+    /**
+     * <code>int64 known_revision = 3;</code>
+     * @param value The knownRevision to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKnownRevision(long value) {
+
+      knownRevision_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 known_revision = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearKnownRevision() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      knownRevision_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:endivestep.v1.ConfigurationRequest)
   }
 
--- a/protocol/src/main/java/org/endivestep/protocol/v1/ConfigurationRequestOrBuilder.java
+++ b/protocol/src/main/java/org/endivestep/protocol/v1/ConfigurationRequestOrBuilder.java
@@ -15,4 +15,20 @@
    * @return The knownVersion.
    */
   long getKnownVersion();
+
+  /**
+   * <pre>
+   * Position of the known version in the store, where versions may be given out again.
+   * </pre>
+   *
+   * <code>int64 known_era = 2;</code>
+   * @return The knownEra.
+   */
+  long getKnownEra();
+
+  /**
+   * <code>int64 known_revision = 3;</code>
+   * @return The knownRevision.
+   */
+  long getKnownRevision();
 }
--- a/protocol/src/main/java/org/endivestep/protocol/v1/Endivestep.java
+++ b/protocol/src/main/java/org/endivestep/protocol/v1/Endivestep.java
@@ -230,71 +230,75 @@
       "enceAnswer\022/\n\005state\030\001 \001(\0162 .endivestep.v" +
       "1.FenceAnswer.State\"O\n\005State\022\017\n\013UNSPECIF" +
       "IED\020\000\022\021\n\rNEVER_STARTED\020\001\022\013\n\007STARTED\020\002\022\025\n" +
-      "\021OTHER_INCARNATION\020\003\"-\n\024ConfigurationReq" +
-      "uest\022\025\n\rknown_version\030\001 \001(\003\"\224\001\n\023Configur" +
-      "ationRecord\022\017\n\007version\030\001 \001(\003\022\020\n\010document" +
-      "\030\002 \001(\t\022*\n\006change\030\003 \001(\0132\032.endivestep.v1.C" +
-      "hangeEntry\022.\n\rlatest_states\030\004 \003(\0132\027.endi" +
-      "vestep.v1.Override\"d\n\010Override\022\023\n\013data_c" +
-      "entre\030\001 \001(\t\022\r\n\005state\030\002 \001(\t\022\021\n\tchange_id\030" +
-      "\003 \001(\t\022\020\n\010operator\030\004 \001(\t\022\017\n\007time_ms\030\005 \001(\003" +
-      "\"\201\001\n\013ChangeEntry\022\021\n\tchange_id\030\001 \001(\t\022\020\n\010o" +
-      "perator\030\002 \001(\t\022\017\n\007time_ms\030\003 \001(\003\022\024\n\014from_v" +
-      "ersion\030\004 \001(\003\022\022\n\nto_version\030\005 \001(\003\022\022\n\ndiff" +
-      "erence\030\006 \001(\t\"\304\002\n\006Member\022\n\n\002vm\030\001 \001(\t\022\014\n\004h" +
-      "ost\030\002 \001(\t\022\022\n\ninner_port\030\003 \001(\005\022\023\n\013data_ce" +
-      "ntre\030\004 \001(\t\022\032\n\022daemon_incarnation\030\005 \001(\t\022\020" +
-      "\n\010sequence\030\006 \001(\003\022*\n\005state\030\007 \001(\0162\033.endive" +
-      "step.v1.Member.State\022\017\n\007service\030\010 \001(\t\022\032\n" +
-      "\022worker_incarnation\030\t \001(\t\022\026\n\016worker_serv" +
-      "ing\030\n \001(\010\022\022\n\nadmin_port\030\013 \001(\005\"D\n\005State\022\017" +
-      "\n\013UNSPECIFIED\020\000\022\t\n\005ALIVE\020\001\022\013\n\007SUSPECT\020\002\022" +
-      "\010\n\004DEAD\020\003\022\010\n\004LEFT\020\004\"T\n\tSuspicion\022\023\n\013fing" +
-      "erprint\030\001 \001(\t\022\016\n\006deaths\030\002 \003(\t\022\024\n\014remaini" +
-      "ng_ms\030\003 \001(\003\022\014\n\004lone\030\004 \001(\010\"\335\002\n\006Gossip\022(\n\004" +
-      "type\030\001 \001(\0162\032.endivestep.v1.Gossip.Type\022\014" +
-      "\n\004from\030\002 \001(\t\022\020\n\010sequence\030\003 \001(\003\022\016\n\006target" +
-      "\030\004 \001(\t\022\035\n\025configuration_version\030\005 \001(\003\022&\n" +
-      "\007members\030\006 \003(\0132\025.endivestep.v1.Member\022,\n" +
-      "\nsuspicions\030\007 \003(\0132\030.endivestep.v1.Suspic" +
-      "ion\022\016\n\006digest\030\010 \001(\006\022*\n\toverrides\030\t \003(\0132\027" +
-      ".endivestep.v1.Override\"H\n\004Type\022\017\n\013UNSPE" +
-      "CIFIED\020\000\022\010\n\004PING\020\001\022\007\n\003ACK\020\002\022\020\n\014PING_REQU" +
-      "EST\020\003\022\n\n\006UPDATE\020\004\"2\n\014SignedGossip\022\017\n\007pay" +
-      "load\030\001 \001(\014\022\021\n\tsignature\030\002 \001(\014\"f\n\017Members" +
-      "hipState\022\014\n\004from\030\001 \001(\t\022&\n\007members\030\002 \003(\0132" +
-      "\025.endivestep.v1.Member\022\035\n\025configuration_" +
-      "version\030\003 \001(\003\"\021\n\017CountersRequest\"\214\001\n\010Cou" +
-      "nters\022\n\n\002vm\030\001 \001(\t\022\023\n\013data_centre\030\002 \001(\t\022\035" +
-      "\n\025configuration_version\030\003 \001(\003\022-\n\010outcome" +
-      "s\030\004 \003(\0132\033.endivestep.v1.OutcomeCount\022\021\n\t" +
-      "overrides\030\005 \003(\t\"M\n\014OutcomeCount\022\017\n\007servi" +
-      "ce\030\001 \001(\t\022\014\n\004kind\030\002 \001(\t\022\017\n\007outcome\030\003 \001(\t\022" +
-      "\r\n\005count\030\004 \001(\003\"\266\002\n\013ClaimRecord\022/\n\005state\030" +
-      "\001 \001(\0162 .endivestep.v1.ClaimRecord.State\022" +
-      "\022\n\nattempt_id\030\002 \001(\t\022\n\n\002vm\030\003 \001(\t\022\017\n\007time_" +
-      "ms\030\004 \001(\003\022\023\n\013fingerprint\030\005 \001(\t\022\016\n\006status\030" +
-      "\006 \001(\005\022&\n\007headers\030\007 \003(\0132\025.endivestep.v1.H" +
-      "eader\022\014\n\004body\030\010 \001(\014\022\021\n\tbody_kept\030\t \001(\010\"W" +
-      "\n\005State\022\017\n\013UNSPECIFIED\020\000\022\013\n\007CLAIMED\020\001\022\r\n" +
-      "\tCOMPLETED\020\002\022\014\n\010RELEASED\020\003\022\023\n\017UNKNOWN_OU" +
-      "TCOME\020\004\"4\n\nRendezvous\022&\n\007members\030\001 \003(\0132\025" +
-      ".endivestep.v1.Member\">\n\rSignInRefusal\022\014" +
-      "\n\004name\030\001 \001(\t\022\016\n\006source\030\002 \001(\t\022\017\n\007time_ms\030" +
-      "\003 \001(\003\"C\n\021SignInRefusalList\022.\n\010refusals\030\001" +
-      " \003(\0132\034.endivestep.v1.SignInRefusal2\226\001\n\tE" +
-      "xchanges\022G\n\010Exchange\022\033.endivestep.v1.Req" +
-      "uestFrame\032\032.endivestep.v1.AnswerFrame(\0010" +
-      "\001\022@\n\005Fence\022\033.endivestep.v1.FenceRequest\032" +
-      "\032.endivestep.v1.FenceAnswer2\200\002\n\007Control\022" +
-      "]\n\022FetchConfiguration\022#.endivestep.v1.Co" +
-      "nfigurationRequest\032\".endivestep.v1.Confi" +
-      "gurationRecord\022M\n\013Synchronize\022\036.endivest" +
-      "ep.v1.MembershipState\032\036.endivestep.v1.Me" +
-      "mbershipState\022G\n\014ReadCounters\022\036.endivest" +
-      "ep.v1.CountersRequest\032\027.endivestep.v1.Co" +
-      "untersB\036\n\032org.endivestep.protocol.v1P\001b\006" +
-      "proto3"
+      "\021OTHER_INCARNATION\020\003\"X\n\024ConfigurationReq" +
+      "uest\022\025\n\rknown_version\030\001 \001(\003\022\021\n\tknown_era" +
+      "\030\002 \001(\003\022\026\n\016known_revision\030\003 \001(\003\"\277\001\n\023Confi" +
+      "gurationRecord\022\017\n\007version\030\001 \001(\003\022\020\n\010docum" +
+      "ent\030\002 \001(\t\022*\n\006change\030\003 \001(\0132\032.endivestep.v" +
+      "1.ChangeEntry\022.\n\rlatest_states\030\004 \003(\0132\027.e" +
+      "ndivestep.v1.Override\022\021\n\tstore_era\030\005 \001(\003" +
+      "\022\026\n\016store_revision\030\006 \001(\003\"w\n\010Override\022\023\n\013" +
+      "data_centre\030\001 \001(\t\022\r\n\005state\030\002 \001(\t\022\021\n\tchan" +
+      "ge_id\030\003 \001(\t\022\020\n\010operator\030\004 \001(\t\022\017\n\007time_ms" +
+      "\030\005 \001(\003\022\021\n\tstore_era\030\006 \001(\003\"\201\001\n\013ChangeEntr" +
+      "y\022\021\n\tchange_id\030\001 \001(\t\022\020\n\010operator\030\002 \001(\t\022\017" +
+      "\n\007time_ms\030\003 \001(\003\022\024\n\014from_version\030\004 \001(\003\022\022\n" +
+      "\nto_version\030\005 \001(\003\022\022\n\ndifference\030\006 \001(\t\"\304\002" +
+      "\n\006Member\022\n\n\002vm\030\001 \001(\t\022\014\n\004host\030\002 \001(\t\022\022\n\nin" +
+      "ner_port\030\003 \001(\005\022\023\n\013data_centre\030\004 \001(\t\022\032\n\022d" +
+      "aemon_incarnation\030\005 \001(\t\022\020\n\010sequence\030\006 \001(" +
+      "\003\022*\n\005state\030\007 \001(\0162\033.endivestep.v1.Member." +
+      "State\022\017\n\007service\030\010 \001(\t\022\032\n\022worker_incarna" +
+      "tion\030\t \001(\t\022\026\n\016worker_serving\030\n \001(\010\022\022\n\nad" +
+      "min_port\030\013 \001(\005\"D\n\005State\022\017\n\013UNSPECIFIED\020\000" +
+      "\022\t\n\005ALIVE\020\001\022\013\n\007SUSPECT\020\002\022\010\n\004DEAD\020\003\022\010\n\004LE" +
+      "FT\020\004\"T\n\tSuspicion\022\023\n\013fingerprint\030\001 \001(\t\022\016" +
+      "\n\006deaths\030\002 \003(\t\022\024\n\014remaining_ms\030\003 \001(\003\022\014\n\004" +
+      "lone\030\004 \001(\010\"\253\003\n\006Gossip\022(\n\004type\030\001 \001(\0162\032.en" +
+      "divestep.v1.Gossip.Type\022\014\n\004from\030\002 \001(\t\022\020\n" +
+      "\010sequence\030\003 \001(\003\022\016\n\006target\030\004 \001(\t\022\035\n\025confi" +
+      "guration_version\030\005 \001(\003\022&\n\007members\030\006 \003(\0132" +
+      "\025.endivestep.v1.Member\022,\n\nsuspicions\030\007 \003" +
+      "(\0132\030.endivestep.v1.Suspicion\022\016\n\006digest\030\010" +
+      " \001(\006\022*\n\toverrides\030\t \003(\0132\027.endivestep.v1." +
+      "Override\022\021\n\tstore_era\030\n \001(\003\022\031\n\021configura" +
+      "tion_era\030\013 \001(\003\022\036\n\026configuration_revision" +
+      "\030\014 \001(\003\"H\n\004Type\022\017\n\013UNSPECIFIED\020\000\022\010\n\004PING\020" +
+      "\001\022\007\n\003ACK\020\002\022\020\n\014PING_REQUEST\020\003\022\n\n\006UPDATE\020\004" +
+      "\"2\n\014SignedGossip\022\017\n\007payload\030\001 \001(\014\022\021\n\tsig" +
+      "nature\030\002 \001(\014\"f\n\017MembershipState\022\014\n\004from\030" +
+      "\001 \001(\t\022&\n\007members\030\002 \003(\0132\025.endivestep.v1.M" +
+      "ember\022\035\n\025configuration_version\030\003 \001(\003\"\021\n\017" +
+      "CountersRequest\"\214\001\n\010Counters\022\n\n\002vm\030\001 \001(\t" +
+      "\022\023\n\013data_centre\030\002 \001(\t\022\035\n\025configuration_v" +
+      "ersion\030\003 \001(\003\022-\n\010outcomes\030\004 \003(\0132\033.endives" +
+      "tep.v1.OutcomeCount\022\021\n\toverrides\030\005 \003(\t\"M" +
+      "\n\014OutcomeCount\022\017\n\007service\030\001 \001(\t\022\014\n\004kind\030" +
+      "\002 \001(\t\022\017\n\007outcome\030\003 \001(\t\022\r\n\005count\030\004 \001(\003\"\266\002" +
+      "\n\013ClaimRecord\022/\n\005state\030\001 \001(\0162 .endiveste" +
+      "p.v1.ClaimRecord.State\022\022\n\nattempt_id\030\002 \001" +
+      "(\t\022\n\n\002vm\030\003 \001(\t\022\017\n\007time_ms\030\004 \001(\003\022\023\n\013finge" +
+      "rprint\030\005 \001(\t\022\016\n\006status\030\006 \001(\005\022&\n\007headers\030" +
+      "\007 \003(\0132\025.endivestep.v1.Header\022\014\n\004body\030\010 \001" +
+      "(\014\022\021\n\tbody_kept\030\t \001(\010\"W\n\005State\022\017\n\013UNSPEC" +
+      "IFIED\020\000\022\013\n\007CLAIMED\020\001\022\r\n\tCOMPLETED\020\002\022\014\n\010R" +
+      "ELEASED\020\003\022\023\n\017UNKNOWN_OUTCOME\020\004\"4\n\nRendez" +
+      "vous\022&\n\007members\030\001 \003(\0132\025.endivestep.v1.Me" +
+      "mber\">\n\rSignInRefusal\022\014\n\004name\030\001 \001(\t\022\016\n\006s" +
+      "ource\030\002 \001(\t\022\017\n\007time_ms\030\003 \001(\003\"C\n\021SignInRe" +
+      "fusalList\022.\n\010refusals\030\001 \003(\0132\034.endivestep" +
+      ".v1.SignInRefusal2\226\001\n\tExchanges\022G\n\010Excha" +
+      "nge\022\033.endivestep.v1.RequestFrame\032\032.endiv" +
+      "estep.v1.AnswerFrame(\0010\001\022@\n\005Fence\022\033.endi" +
+      "vestep.v1.FenceRequest\032\032.endivestep.v1.F" +
+      "enceAnswer2\200\002\n\007Control\022]\n\022FetchConfigura" +
+      "tion\022#.endivestep.v1.ConfigurationReques" +
+      "t\032\".endivestep.v1.ConfigurationRecord\022M\n" +
+      "\013Synchronize\022\036.endivestep.v1.MembershipS" +
+      "tate\032\036.endivestep.v1.MembershipState\022G\n\014" +
+      "ReadCounters\022\036.endivestep.v1.CountersReq" +
+      "uest\032\027.endivestep.v1.CountersB\036\n\032org.end" +
+      "ivestep.protocol.v1P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -389,19 +393,19 @@
     internal_static_endivestep_v1_ConfigurationRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_ConfigurationRequest_descriptor,
-        new java.lang.String[] { "KnownVersion", });
+        new java.lang.String[] { "KnownVersion", "KnownEra", "KnownRevision", });
     internal_static_endivestep_v1_ConfigurationRecord_descriptor =
       getDescriptor().getMessageTypes().get(15);
     internal_static_endivestep_v1_ConfigurationRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_ConfigurationRecord_descriptor,
-        new java.lang.String[] { "Version", "Document", "Change", "LatestStates", });
+        new java.lang.String[] { "Version", "Document", "Change", "LatestStates", "StoreEra", "StoreRevision", });
     internal_static_endivestep_v1_Override_descriptor =
       getDescriptor().getMessageTypes().get(16);
     internal_static_endivestep_v1_Override_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_Override_descriptor,
-        new java.lang.String[] { "DataCentre", "State", "ChangeId", "Operator", "TimeMs", });
+        new java.lang.String[] { "DataCentre", "State", "ChangeId", "Operator", "TimeMs", "StoreEra", });
     internal_static_endivestep_v1_ChangeEntry_descriptor =
       getDescriptor().getMessageTypes().get(17);
     internal_static_endivestep_v1_ChangeEntry_fieldAccessorTable = new
@@ -425,7 +429,7 @@
     internal_static_endivestep_v1_Gossip_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_Gossip_descriptor,
-        new java.lang.String[] { "Type", "From", "Sequence", "Target", "ConfigurationVersion", "Members", "Suspicions", "Digest", "Overrides", });
+        new java.lang.String[] { "Type", "From", "Sequence", "Target", "ConfigurationVersion", "Members", "Suspicions", "Digest", "Overrides", "StoreEra", "ConfigurationEra", "ConfigurationRevision", });
     internal_static_endivestep_v1_SignedGossip_descriptor =
       getDescriptor().getMessageTypes().get(21);
     internal_static_endivestep_v1_SignedGossip_fieldAccessorTable = new
--- a/protocol/src/main/java/org/endivestep/protocol/v1/Gossip.java
+++ b/protocol/src/main/java/org/endivestep/protocol/v1/Gossip.java
@@ -453,6 +453,43 @@
     return overrides_.get(index);
   }
 
+  public static final int STORE_ERA_FIELD_NUMBER = 10;
+  private long storeEra_ = 0L;
+  /**
+   * <pre>
+   * Latest era of the store that the sender has heard of.
+   * </pre>
+   *
+   * <code>int64 store_era = 10;</code>
+   * @return The storeEra.
+   */
+  @java.lang.Override
+  public long getStoreEra() {
+    return storeEra_;
+  }
+
+  public static final int CONFIGURATION_ERA_FIELD_NUMBER = 11;
+  private long configurationEra_ = 0L;
+  /**
+   * <code>int64 configuration_era = 11;</code>
+   * @return The configurationEra.
+   */
+  @java.lang.Override
+  public long getConfigurationEra() {
+    return configurationEra_;
+  }
+
+  public static final int CONFIGURATION_REVISION_FIELD_NUMBER = 12;
+  private long configurationRevision_ = 0L;
+  /**
+   * <code>int64 configuration_revision = 12;</code>
+   * @return The configurationRevision.
+   */
+  @java.lang.Override
+  public long getConfigurationRevision() {
+    return configurationRevision_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -494,6 +531,15 @@
     for (int i = 0; i < overrides_.size(); i++) {
       output.writeMessage(9, overrides_.get(i));
     }
+    if (storeEra_ != 0L) {
+      output.writeInt64(10, storeEra_);
+    }
+    if (configurationEra_ != 0L) {
+      output.writeInt64(11, configurationEra_);
+    }
+    if (configurationRevision_ != 0L) {
+      output.writeInt64(12, configurationRevision_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -537,6 +583,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(9, overrides_.get(i));
     }
+    if (storeEra_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(10, storeEra_);
+    }
+    if (configurationEra_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(11, configurationEra_);
+    }
+    if (configurationRevision_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(12, configurationRevision_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -569,6 +627,12 @@
         != other.getDigest()) return false;
     if (!getOverridesList()
         .equals(other.getOverridesList())) return false;
+    if (getStoreEra()
+        != other.getStoreEra()) return false;
+    if (getConfigurationEra()
+        != other.getConfigurationEra()) return false;
+    if (getConfigurationRevision()
+        != other.getConfigurationRevision()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -607,6 +671,15 @@
       hash = (37 * hash) + OVERRIDES_FIELD_NUMBER;
       hash = (53 * hash) + getOverridesList().hashCode();
     }
+    hash = (37 * hash) + STORE_ERA_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getStoreEra());
+    hash = (37 * hash) + CONFIGURATION_ERA_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getConfigurationEra());
+    hash = (37 * hash) + CONFIGURATION_REVISION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getConfigurationRevision());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -765,6 +838,9 @@
         overridesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000100);
+      storeEra_ = 0L;
+      configurationEra_ = 0L;
+      configurationRevision_ = 0L;
       return this;
     }
 
@@ -847,6 +923,15 @@
       if (((from_bitField0_ & 0x00000080) != 0)) {
         result.digest_ = digest_;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.storeEra_ = storeEra_;
+      }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.configurationEra_ = configurationEra_;
+      }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.configurationRevision_ = configurationRevision_;
+      }
     }
 
     @java.lang.Override
@@ -961,6 +1046,15 @@
           }
         }
       }
+      if (other.getStoreEra() != 0L) {
+        setStoreEra(other.getStoreEra());
+      }
+      if (other.getConfigurationEra() != 0L) {
+        setConfigurationEra(other.getConfigurationEra());
+      }
+      if (other.getConfigurationRevision() != 0L) {
+        setConfigurationRevision(other.getConfigurationRevision());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1056,6 +1150,21 @@
               }
               break;
             } // case 74
+            case 80: {
+              storeEra_ = input.readInt64();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
+            case 88: {
+              configurationEra_ = input.readInt64();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 88
+            case 96: {
+              configurationRevision_ = input.readInt64();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 96
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2104,6 +2213,114 @@
       return overridesBuilder_;
     }
 
+    private long storeEra_ ;
+    /**
+     * <pre>
+     * Latest era of the store that the sender has heard of.
+     * </pre>
+     *
+     * <code>int64 store_era = 10;</code>
+     * @return The storeEra.
+     */
+    @java.lang.Override
+    public long getStoreEra() {
+      return storeEra_;
+    }
+    /**
+     * <pre>
+     * Latest era of the store that the sender has heard of.
+     * </pre>
+     *
+     * <code>int64 store_era = 10;</code>
+     * @param value The storeEra to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStoreEra(long value) {
+
+      storeEra_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Latest era of the store that the sender has heard of.
+     * </pre>
+     *
+     * <code>int64 store_era = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStoreEra() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      storeEra_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long configurationEra_ ;
+    /**
+     * <code>int64 configuration_era = 11;</code>
+     * @return The configurationEra.
+     */
+    @java.lang.Override
+    public long getConfigurationEra() {
+      return configurationEra_;
+    }
+    /**
+     * <code>int64 configuration_era = 11;</code>
+     * @param value The configurationEra to set.
+     * @return This builder for chaining.
+     */
+    public Builder setConfigurationEra(long value) {
+
+      configurationEra_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 configuration_era = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearConfigurationEra() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      configurationEra_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long configurationRevision_ ;
+    /**
+     * <code>int64 configuration_revision = 12;</code>
+     * @return The configurationRevision.
+     */
+    @java.lang.Override
+    public long getConfigurationRevision() {
+      return configurationRevision_;
+    }
+    /**
+     * <code>int64 configuration_revision = 12;</code>
+     * @param value The configurationRevision to set.
+     * @return This builder for chaining.
+     */
+    public Builder setConfigurationRevision(long value) {
+
+      configurationRevision_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 configuration_revision = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearConfigurationRevision() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      configurationRevision_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:endivestep.v1.Gossip)
   }
 
--- a/protocol/src/main/java/org/endivestep/protocol/v1/GossipOrBuilder.java
+++ b/protocol/src/main/java/org/endivestep/protocol/v1/GossipOrBuilder.java
@@ -142,4 +142,26 @@
    */
   org.endivestep.protocol.v1.OverrideOrBuilder getOverridesOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Latest era of the store that the sender has heard of.
+   * </pre>
+   *
+   * <code>int64 store_era = 10;</code>
+   * @return The storeEra.
+   */
+  long getStoreEra();
+
+  /**
+   * <code>int64 configuration_era = 11;</code>
+   * @return The configurationEra.
+   */
+  long getConfigurationEra();
+
+  /**
+   * <code>int64 configuration_revision = 12;</code>
+   * @return The configurationRevision.
+   */
+  long getConfigurationRevision();
 }
--- a/protocol/src/main/java/org/endivestep/protocol/v1/Override.java
+++ b/protocol/src/main/java/org/endivestep/protocol/v1/Override.java
@@ -218,6 +218,17 @@
     return timeMs_;
   }
 
+  public static final int STORE_ERA_FIELD_NUMBER = 6;
+  private long storeEra_ = 0L;
+  /**
+   * <code>int64 store_era = 6;</code>
+   * @return The storeEra.
+   */
+  @java.lang.Override
+  public long getStoreEra() {
+    return storeEra_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -247,6 +258,9 @@
     if (timeMs_ != 0L) {
       output.writeInt64(5, timeMs_);
     }
+    if (storeEra_ != 0L) {
+      output.writeInt64(6, storeEra_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -272,6 +286,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(5, timeMs_);
     }
+    if (storeEra_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(6, storeEra_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -297,6 +315,8 @@
         .equals(other.getOperator())) return false;
     if (getTimeMs()
         != other.getTimeMs()) return false;
+    if (getStoreEra()
+        != other.getStoreEra()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -319,6 +339,9 @@
     hash = (37 * hash) + TIME_MS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getTimeMs());
+    hash = (37 * hash) + STORE_ERA_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getStoreEra());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -459,6 +482,7 @@
       changeId_ = "";
       operator_ = "";
       timeMs_ = 0L;
+      storeEra_ = 0L;
       return this;
     }
 
@@ -507,6 +531,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.timeMs_ = timeMs_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.storeEra_ = storeEra_;
+      }
     }
 
     @java.lang.Override
@@ -544,6 +571,9 @@
       if (other.getTimeMs() != 0L) {
         setTimeMs(other.getTimeMs());
       }
+      if (other.getStoreEra() != 0L) {
+        setStoreEra(other.getStoreEra());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -595,6 +625,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 48: {
+              storeEra_ = input.readInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -932,6 +967,38 @@
       return this;
     }
 
+    private long storeEra_ ;
+    /**
+     * <code>int64 store_era = 6;</code>
+     * @return The storeEra.
+     */
+    @java.lang.Override
+    public long getStoreEra() {
+      return storeEra_;
+    }
+    /**
+     * <code>int64 store_era = 6;</code>
+     * @param value The storeEra to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStoreEra(long value) {
+
+      storeEra_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 store_era = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStoreEra() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      storeEra_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:endivestep.v1.Override)
   }
 
--- a/protocol/src/main/java/org/endivestep/protocol/v1/OverrideOrBuilder.java
+++ b/protocol/src/main/java/org/endivestep/protocol/v1/OverrideOrBuilder.java
@@ -63,4 +63,10 @@
    * @return The timeMs.
    */
   long getTimeMs();
+
+  /**
+   * <code>int64 store_era = 6;</code>
+   * @return The storeEra.
+   */
+  long getStoreEra();
 }
