Order the states of a data centre by the store's era

After a restore a later state bears a lower revision than one from before it, so the earlier one won, in one daemon and through gossip: a data centre whose removal from service was taken back stayed out for good. And a list that lacks an object which the restore has lost was taken for its deletion.

States are ordered by era and revision. One whose object is back is out, which is the safe side. No call is added but a shorter watch while one is kept out.

--- a/endivestep/src/main/kotlin/org/endivestep/daemon/OperatorObjectsFollower.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/OperatorObjectsFollower.kt
@@ -2,23 +2,18 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.endivestep.configuration.ConfigurationAdoption
-import org.endivestep.configuration.DataCentreOverride
 import org.endivestep.configuration.Overrides
 import org.endivestep.configuration.offerAndLog
-import org.endivestep.document.DataCentreState
-import org.endivestep.identity.DataCentreName
+import org.endivestep.exchange.monotonicMs
 import org.endivestep.platform.OperatorObjects
 import org.endivestep.platform.versionOf
 import org.endivestep.protocol.v1.ChangeEntry
 import org.endivestep.protocol.v1.ConfigurationRecord
-import org.endivestep.store.CollectionEvent
 import org.endivestep.store.CollectionFollower
 import org.endivestep.store.CollectionItem
 import org.endivestep.store.CollectionListener
 import org.endivestep.store.CollectionName
-import org.endivestep.store.ListedCollection
 import org.endivestep.store.ObjectCollections
-import org.endivestep.store.StoreRevision
 import java.util.random.RandomGenerator
 
 private val logger = KotlinLogging.logger {}
@@ -28,8 +23,10 @@
     store: ObjectCollections,
     random: RandomGenerator,
     private val adoption: ConfigurationAdoption,
-    private val overrides: Overrides,
+    overrides: Overrides,
+    clockMs: () -> Long = ::monotonicMs,
 ) {
+    private val states = DataCentreStates(overrides, clockMs)
     private val configurations =
         CollectionFollower(
             store,
@@ -42,7 +39,7 @@
             store,
             CollectionName(OperatorObjects.DATA_CENTRES_OUT),
             random,
-            CollectionListener(::statesListed, ::stateChanged),
+            CollectionListener(states::listed, states::changed, states::upToDate, states::msUntilSettled),
         )
 
     /** Whether the store answered the last call of the configuration follower. */
@@ -66,28 +63,19 @@
 
     private fun offer(item: CollectionItem) {
         if (item.name != OperatorObjects.CONFIGURATION_NAME) return
-        val version = versionOf(item.text)
-        if (version == null) {
-            logger.error { "ignoring the configuration at store revision ${item.revision.number}: it has no version" }
-            return
-        }
-        val change = ChangeEntry.newBuilder().setChangeId("version $version")
-        adoption.offerAndLog(ConfigurationRecord.newBuilder().setVersion(version).setDocument(item.text).setChange(change).build())
-    }
-
-    private fun statesListed(listed: ListedCollection.Items) {
-        val out = listed.items.map { stateOf(it.name, DataCentreState.OUT, it.revision) }
-        val names = listed.items.map { it.name }.toSet()
-        val noLongerOut = overrides.entries.filter { it.state == DataCentreState.OUT && it.dataCentre.text !in names }
-        overrides.merge(out + noLongerOut.map { stateOf(it.dataCentre.text, DataCentreState.IN, listed.revision) })
-    }
-
-    private fun stateChanged(event: CollectionEvent) {
-        val state = if (event.deleted) DataCentreState.IN else DataCentreState.OUT
-        overrides.merge(listOf(stateOf(event.item.name, state, event.item.revision)))
+        val record = operatorRecord(item)
+        if (record == null) logger.error { "ignoring the configuration at store revision ${item.revision}: it has no version" }
+        record?.let(adoption::offerAndLog)
     }
+}
 
-    // The store's revision takes the place of a timestamp in the order of the states of a data centre.
-    private fun stateOf(dataCentre: String, state: DataCentreState, revision: StoreRevision) =
-        DataCentreOverride(DataCentreName(dataCentre), state, "revision ${revision.number} ${state.text}", "operator", revision.number)
+/** Returns the configuration in [item], or null when it has no version. */
+internal fun operatorRecord(item: CollectionItem): ConfigurationRecord? {
+    val version = versionOf(item.text) ?: return null
+    return ConfigurationRecord
+        .newBuilder()
+        .setVersion(version)
+        .setDocument(item.text)
+        .setChange(ChangeEntry.newBuilder().setChangeId("version $version"))
+        .build()
 }
--- a/endivestep/src/test/kotlin/org/endivestep/daemon/RestoredStoreTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/daemon/RestoredStoreTest.kt
@@ -83,4 +83,25 @@
                 }
             }
         }
+
+        // Guards against workers that get requests although the removal of their data centre was confirmed before a restore.
+        test("a data centre stays out across a restore, and returns when its object is deleted at a lower revision than before") {
+            RestorableStore().use { store ->
+                store.write("config", "main", configuration(1))
+                val copy = store.copy()
+                repeat(20) { store.write("other", "object-$it", "{}") }
+                store.write("evacuations", "leiden", "{}")
+                FollowingDaemon(store).use { daemon ->
+                    inForce("leiden is out") { daemon.overrides.document != null && !daemon.isLeidenIn }
+                    store.restore(copy)
+                    repeat(30) {
+                        withClue("leiden is out after the restore, check $it") { daemon.isLeidenIn shouldBe false }
+                        Thread.sleep(100)
+                    }
+                    store.write("evacuations", "leiden", "{}")
+                    store.delete("evacuations", "leiden")
+                    inForce("leiden is in") { daemon.isLeidenIn }
+                }
+            }
+        }
     })
