Replace a configuration whose version a restored store gives out again

Adoption compared versions only, and the change id on the platform is made from the version, so another content with the version in force was ignored; a daemon that had not seen the first content took the second, and the daemons differed for good. RestoredStoreTest printed "the second content of version 2; routes are [/lost/]" on the code before.

Configurations are ordered by version and then by the store's era and revision, in gossip and between peers too. The same content keeps the later revision, so that it is not fetched again and again. An older version that comes back from the copy never replaces a newer one.

--- a/endivestep/src/main/kotlin/org/endivestep/configuration/ConfigurationAdoption.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/configuration/ConfigurationAdoption.kt
@@ -23,7 +23,7 @@
     /** The record is the one in force or has a lower version. */
     data object NotNewer : Adoption
 
-    /** The record has the version in force but another change id: the store lost or replaced an object. */
+    /** The record has the version in force and the same revision but another content: the store lost or replaced an object. */
     data object Conflicting : Adoption
 
     /** This version of the program cannot parse the document; the previous configuration stays in force. */
@@ -31,7 +31,7 @@
 }
 
 /**
- * Holds the configuration in force of one daemon, whose version only increases.
+ * Holds the configuration in force of one daemon, whose position only increases.
  *
  * Records come from the store and from peers, in any order, and may be repeated. Thread-safe.
  */
@@ -45,20 +45,29 @@
 
     val version: ConfigurationVersion get() = active?.version ?: noConfiguration
 
+    val position: ConfigurationPosition get() = active?.record?.position ?: noPosition
+
     @Synchronized
     fun offer(record: ConfigurationRecord): Adoption {
         val current = active
-        if (current != null && record.version == current.record.version) {
-            val same = record.change.changeId == current.record.change.changeId
-            return if (same) Adoption.NotNewer else Adoption.Conflicting
-        }
-        if (ConfigurationVersion(record.version) <= version) return Adoption.NotNewer
+        if (current != null && record.hasContentOf(current.record)) return keep(current, record)
+        if (record.position == position && current != null) return Adoption.Conflicting
+        if (record.position <= position) return Adoption.NotNewer
         return when (val checked = parse("version ${record.version}", record.document)) {
             is Checked.Invalid -> Adoption.Unreadable(checked.findings)
             is Checked.Valid -> adopt(ActiveConfiguration(record, checked.value))
         }
     }
 
+    private fun ConfigurationRecord.hasContentOf(other: ConfigurationRecord): Boolean =
+        version == other.version && change.changeId == other.change.changeId && document == other.document
+
+    // The later position is kept, so that a content that the store gave the same version in between is not taken for a newer one.
+    private fun keep(current: ActiveConfiguration, record: ConfigurationRecord): Adoption {
+        if (record.position > current.record.position) active = ActiveConfiguration(record, current.document)
+        return Adoption.NotNewer
+    }
+
     private fun adopt(configuration: ActiveConfiguration): Adoption {
         active = configuration
         onAdopted(configuration)
--- a/endivestep/src/main/kotlin/org/endivestep/configuration/ConfigurationFetcher.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/configuration/ConfigurationFetcher.kt
@@ -35,7 +35,7 @@
     private fun fetchNext() {
         val peer = fetches.poll(POLL_MS) ?: return
         queued.remove(peer)
-        fetch(peer, adoption.version)?.let(onFetched)
+        fetch(peer, adoption.position)?.let(onFetched)
     }
 
     private companion object {
@@ -47,9 +47,13 @@
 /** Offers [record] for adoption and logs the result. */
 internal fun ConfigurationAdoption.offerAndLog(record: ConfigurationRecord) {
     when (val adoption = offer(record)) {
-        is Adoption.Adopted -> logger.info { "configuration version ${record.version} is in force" }
+        is Adoption.Adopted -> logger.info {
+            "configuration version ${record.version}, store revision ${record.position.revision}, is in force"
+        }
         is Adoption.Unreadable -> logger.error { "cannot parse configuration version ${record.version}, ignoring it: ${adoption.findings}" }
-        Adoption.Conflicting -> logger.error { "ignoring a second change with configuration version ${record.version}" }
+        Adoption.Conflicting -> logger.error {
+            "ignoring a second change with configuration version ${record.version}, revision ${record.position.revision}"
+        }
         Adoption.NotNewer -> Unit
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/configuration/ConfigurationWatcher.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/configuration/ConfigurationWatcher.kt
@@ -1,15 +1,14 @@
 package org.endivestep.configuration
 
 import org.endivestep.concurrent.BackgroundLoop
-import org.endivestep.identity.ConfigurationVersion
 import org.endivestep.protocol.v1.ConfigurationRecord
 import org.endivestep.settings.Address
 import org.endivestep.store.ObjectStore
 import org.endivestep.store.ObjectVersion
 import org.endivestep.store.ReadResult
 
-/** Fetches the configuration of a peer; returns null when there is none newer than the given version. */
-internal typealias ConfigurationFetch = (Address, ConfigurationVersion) -> ConfigurationRecord?
+/** Fetches the configuration of a peer; returns null when there is none after the given position. */
+internal typealias ConfigurationFetch = (Address, ConfigurationPosition) -> ConfigurationRecord?
 
 /**
  * Receives new configurations from the store and from peers.
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/OperatorObjectsFollower.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/OperatorObjectsFollower.kt
@@ -77,5 +77,7 @@
         .setVersion(version)
         .setDocument(item.text)
         .setChange(ChangeEntry.newBuilder().setChangeId("version $version"))
+        .setStoreEra(item.revision.era.number)
+        .setStoreRevision(item.revision.number)
         .build()
 }
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -125,7 +125,7 @@
     private val exchanges = ExchangeClient(channels, pools.uploads)
     private val control = ControlClient(channels)
     private val protocol =
-        GossipProtocol(initialMemberInfo(), random, overrides = overrides::entries, storeEra = ::knownEra) { adoption.version }
+        GossipProtocol(initialMemberInfo(), random, overrides = overrides::entries, storeEra = ::knownEra) { adoption.position }
     private val gossip: Gossip = Gossip(protocol, GossipCodec(security), udpSocket(), ::monotonicMs, ::handleGossipAction)
     private val supervisor: WorkerSupervisor = WorkerSupervisor(workers, admission, crashes, inFlight, gossip, ::document)
     private val applier: ConfigurationApplier =
--- a/endivestep/src/main/kotlin/org/endivestep/membership/GossipMessage.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/membership/GossipMessage.kt
@@ -1,7 +1,7 @@
 package org.endivestep.membership
 
+import org.endivestep.configuration.ConfigurationPosition
 import org.endivestep.configuration.DataCentreOverride
-import org.endivestep.identity.ConfigurationVersion
 import org.endivestep.identity.VmName
 import org.endivestep.quarantine.SuspicionEntry
 import org.endivestep.settings.Address
@@ -16,7 +16,7 @@
     val from: VmName,
     val sequence: Long,
     val target: VmName?,
-    val configurationVersion: ConfigurationVersion,
+    val configuration: ConfigurationPosition,
     val storeEra: StoreEra,
     val members: List<MemberInfo>,
     val suspicions: List<SuspicionEntry>,
--- a/endivestep/src/main/kotlin/org/endivestep/membership/GossipProtocol.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/membership/GossipProtocol.kt
@@ -1,7 +1,7 @@
 package org.endivestep.membership
 
+import org.endivestep.configuration.ConfigurationPosition
 import org.endivestep.configuration.DataCentreOverride
-import org.endivestep.identity.ConfigurationVersion
 import org.endivestep.identity.VmName
 import org.endivestep.quarantine.SuspicionEntry
 import org.endivestep.settings.Address
@@ -11,7 +11,7 @@
 
 /**
  * SWIM membership protocol: random probes, indirect probes, suspicion before death, and piggybacked updates.
- * Every message also carries the sender's configuration version, the era of the store, and its overrides.
+ * Every message also carries the position of the sender's configuration, the era of the store, and its overrides.
  *
  * A pure state machine: it is passed events with the current time in ms, and returns actions. Not thread-safe.
  */
@@ -21,7 +21,7 @@
     private val settings: GossipSettings = GossipSettings(),
     private val overrides: () -> List<DataCentreOverride> = { emptyList() },
     private val storeEra: () -> StoreEra = { firstStoreEra },
-    private val configurationVersion: () -> ConfigurationVersion,
+    private val configuration: () -> ConfigurationPosition,
 ) {
     private class Probe(val target: MemberInfo, val sentMs: Long, var indirect: Boolean)
 
@@ -109,7 +109,7 @@
         if (updates.isNotEmpty() || newSuspicions.isNotEmpty()) actions += push()
         if (!overrides().containsAll(message.overrides)) actions += GossipAction.Overrides(message.overrides)
         if (message.storeEra > storeEra()) actions += GossipAction.StoreRestored(message.storeEra)
-        if (message.configurationVersion > configurationVersion()) actions += GossipAction.FetchConfiguration(source)
+        if (message.configuration > configuration()) actions += GossipAction.FetchConfiguration(source)
         actions += respond(message, source, isIntroduction)
         actions += compareDigest(message, source, nowMs)
         return actions
@@ -243,7 +243,7 @@
             from = table.self.vm,
             sequence = sequence,
             target = target,
-            configurationVersion = configurationVersion(),
+            configuration = configuration(),
             storeEra = storeEra(),
             members = updates + listOfNotNull(subjectEntry, self),
             suspicions = suspicions.take(),
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ControlClient.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ControlClient.kt
@@ -1,7 +1,8 @@
 package org.endivestep.protocol
 
 import io.grpc.StatusRuntimeException
-import org.endivestep.identity.ConfigurationVersion
+import org.endivestep.configuration.ConfigurationPosition
+import org.endivestep.configuration.position
 import org.endivestep.membership.MemberInfo
 import org.endivestep.protocol.v1.ConfigurationRecord
 import org.endivestep.protocol.v1.ConfigurationRequest
@@ -15,9 +16,15 @@
 /** Client for control calls to other daemons. Every call blocks, and returns null when the call fails or times out. */
 internal class ControlClient(private val channels: PeerChannels) {
     /** Returns the peer's configuration, or null when it has none newer than [known]. */
-    fun fetchConfiguration(peer: Address, known: ConfigurationVersion): ConfigurationRecord? =
-        call(peer) { it.fetchConfiguration(ConfigurationRequest.newBuilder().setKnownVersion(known.number).build()) }
-            ?.takeIf { it.version > known.number }
+    fun fetchConfiguration(peer: Address, known: ConfigurationPosition): ConfigurationRecord? {
+        val request =
+            ConfigurationRequest
+                .newBuilder()
+                .setKnownVersion(known.version.number)
+                .setKnownEra(known.revision.era.number)
+                .setKnownRevision(known.revision.number)
+        return call(peer) { it.fetchConfiguration(request.build()) }?.takeIf { it.position > known }
+    }
 
     /** Sends the membership table to [peer] and returns the peer's table. */
     fun synchronize(peer: Address, members: Collection<MemberInfo>, self: MemberInfo): MembershipState? {
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ControlServer.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ControlServer.kt
@@ -2,7 +2,10 @@
 
 import io.grpc.stub.StreamObserver
 import org.endivestep.configuration.ConfigurationAdoption
+import org.endivestep.configuration.ConfigurationPosition
 import org.endivestep.configuration.DataCentreOverride
+import org.endivestep.configuration.position
+import org.endivestep.identity.ConfigurationVersion
 import org.endivestep.membership.Gossip
 import org.endivestep.metrics.OutcomeCounters
 import org.endivestep.protocol.v1.ConfigurationRecord
@@ -12,6 +15,8 @@
 import org.endivestep.protocol.v1.CountersRequest
 import org.endivestep.protocol.v1.MembershipState
 import org.endivestep.protocol.v1.OutcomeCount
+import org.endivestep.store.StoreEra
+import org.endivestep.store.StoreRevision
 
 /** Serves control calls from other daemons. */
 internal class ControlServer(
@@ -22,7 +27,9 @@
 ) : ControlGrpc.ControlImplBase() {
     override fun fetchConfiguration(request: ConfigurationRequest, responseObserver: StreamObserver<ConfigurationRecord>) {
         val record = adoption.active?.record
-        val newer = record?.takeIf { it.version > request.knownVersion }
+        val revision = StoreRevision(request.knownRevision, StoreEra(request.knownEra))
+        val known = ConfigurationPosition(ConfigurationVersion(request.knownVersion), revision)
+        val newer = record?.takeIf { it.position > known }
         reply(responseObserver, newer ?: ConfigurationRecord.getDefaultInstance())
     }
 
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/GossipCodec.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/GossipCodec.kt
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString
 import com.google.protobuf.InvalidProtocolBufferException
+import org.endivestep.configuration.ConfigurationPosition
 import org.endivestep.identity.ConfigurationVersion
 import org.endivestep.identity.DaemonIncarnation
 import org.endivestep.identity.DataCentreName
@@ -21,6 +22,7 @@
 import org.endivestep.quarantine.SuspicionEntry
 import org.endivestep.settings.Address
 import org.endivestep.store.StoreEra
+import org.endivestep.store.StoreRevision
 
 private val wireTypes =
     mapOf(
@@ -104,7 +106,9 @@
             .setType(wireTypes.getValue(type))
             .setFrom(from.text)
             .setSequence(sequence)
-            .setConfigurationVersion(configurationVersion.number)
+            .setConfigurationVersion(configuration.version.number)
+            .setConfigurationEra(configuration.revision.era.number)
+            .setConfigurationRevision(configuration.revision.number)
             .setStoreEra(storeEra.number)
             .setDigest(digest)
             .addAllMembers(members.map { it.toWire() })
@@ -121,7 +125,11 @@
         from = VmName(from),
         sequence = sequence,
         target = VmName(target).takeIf { target.isNotEmpty() },
-        configurationVersion = ConfigurationVersion(configurationVersion),
+        configuration =
+        ConfigurationPosition(
+            ConfigurationVersion(configurationVersion),
+            StoreRevision(configurationRevision, StoreEra(configurationEra)),
+        ),
         storeEra = StoreEra(storeEra),
         members = membersList.mapNotNull { it.toInfo() },
         suspicions = suspicionsList.map { it.toEntry() },
--- a/endivestep/src/test/kotlin/org/endivestep/daemon/RestoredStoreTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/daemon/RestoredStoreTest.kt
@@ -84,6 +84,21 @@
             }
         }
 
+        // Guards against a confirmed configuration that is ignored because the version was in use before a restore.
+        test("a version that is given out again with another content replaces the one from before the restore") {
+            RestorableStore().use { store ->
+                store.write("config", "main", configuration(1))
+                val copy = store.copy()
+                store.write("config", "main", configuration(2, "/lost/"))
+                FollowingDaemon(store).use { daemon ->
+                    inForce("version 2") { daemon.prefixes == listOf("/lost/") }
+                    store.restore(copy)
+                    store.write("config", "main", configuration(2, "/again/"))
+                    inForce("the second content of version 2; routes are ${daemon.prefixes}") { daemon.prefixes == listOf("/again/") }
+                }
+            }
+        }
+
         // Guards against workers that get requests although the removal of their data centre was confirmed before a restore.
         test("a data centre stays out across a restore, and returns when its object is deleted at a lower revision than before") {
             RestorableStore().use { store ->
--- a/endivestep/src/test/kotlin/org/endivestep/membership/GossipModelTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/membership/GossipModelTest.kt
@@ -11,6 +11,7 @@
 import io.kotest.property.arbitrary.list
 import io.kotest.property.arbitrary.long
 import io.kotest.property.checkAll
+import org.endivestep.configuration.ConfigurationPosition
 import org.endivestep.fakes.fuzz
 import org.endivestep.identity.ConfigurationVersion
 import org.endivestep.identity.DataCentreName
@@ -145,7 +146,7 @@
                 state = MemberState.ALIVE,
                 worker = null,
             )
-        return GossipProtocol(self, random) { ConfigurationVersion(versions[index]) }
+        return GossipProtocol(self, random) { ConfigurationPosition(ConfigurationVersion(versions[index])) }
     }
 
     private companion object {
--- a/endivestep/src/test/kotlin/org/endivestep/membership/GossipScalingTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/membership/GossipScalingTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.doubles.shouldBeLessThan
+import org.endivestep.configuration.ConfigurationPosition
 import org.endivestep.identity.ConfigurationVersion
 import org.endivestep.identity.DataCentreName
 import org.endivestep.identity.ServiceName
@@ -131,7 +132,7 @@
                 state = MemberState.ALIVE,
                 worker = WorkerInfo(ServiceName("service-${index % 110}"), WorkerIncarnation("run-$index"), serving = true),
             )
-        return GossipProtocol(self, random) { ConfigurationVersion(versions[index]) }
+        return GossipProtocol(self, random) { ConfigurationPosition(ConfigurationVersion(versions[index])) }
     }
 }
 
--- a/endivestep/src/test/kotlin/org/endivestep/membership/JoinAnnouncementTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/membership/JoinAnnouncementTest.kt
@@ -5,6 +5,7 @@
 import io.kotest.matchers.collections.shouldContain
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
+import org.endivestep.configuration.ConfigurationPosition
 import org.endivestep.identity.ConfigurationVersion
 import org.endivestep.identity.DataCentreName
 import org.endivestep.identity.VmName
@@ -62,7 +63,7 @@
                 worker = null,
             ),
             SplittableRandom(index.toLong()),
-        ) { ConfigurationVersion(1) }
+        ) { ConfigurationPosition(ConfigurationVersion(1)) }
 }
 
 class JoinAnnouncementTest :
