Register the address of a daemon again when a restored store has lost it

A registration was written once; a restore from a copy could lose it, and a daemon that starts later would not find this one through the store. DaemonDirectoryTest covers it; it was not seen red.

--- a/endivestep/src/main/kotlin/org/endivestep/daemon/StoreDuties.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/StoreDuties.kt
@@ -37,9 +37,10 @@
         directory.start()
     }
 
-    /** Reads again what a restore of the store may have changed, and tells other daemons. */
+    /** Reads and writes again what a restore of the store may have changed, and tells other daemons. */
     fun restored() {
         operator.refresh()
+        directory.registerAgain()
         gossip.pushUpdate()
     }
 
--- a/endivestep/src/main/kotlin/org/endivestep/membership/DaemonDirectory.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/membership/DaemonDirectory.kt
@@ -9,6 +9,7 @@
 import org.endivestep.store.ListedCollection
 import org.endivestep.store.ObjectCollections
 import org.endivestep.store.WriteResult
+import java.util.concurrent.Semaphore
 import java.util.random.RandomGenerator
 
 private val logger = KotlinLogging.logger {}
@@ -26,6 +27,7 @@
 ) {
     private val registrationBackoff = ExponentialBackoff(FIRST_PAUSE_MS, MAX_PAUSE_MS, random)
     private val loops = mutableListOf<BackgroundLoop>()
+    private val registrations = Semaphore(0)
     private var registered = false
     private var readCount = 0
 
@@ -36,11 +38,12 @@
 
     fun stop() = loops.forEach { it.stop() }
 
+    /** Writes the address of this daemon again if the store has lost it, because the store was restored from a copy. */
+    fun registerAgain() = registrations.release()
+
     private fun register() {
-        if (registered) {
-            Thread.sleep(REFRESH_INTERVAL_MS)
-            return
-        }
+        if (registered) awaitRequest()
+        if (registered) return
         when (val result = store.write(collection, gossip.self.vm.text, gossip.self.inner.toString())) {
             is WriteResult.Written -> {
                 registered = true
@@ -54,6 +57,19 @@
         }
     }
 
+    // Each daemon waits for another time, so that they don't all call a store that has just returned at the same moment.
+    private fun awaitRequest() {
+        registrations.acquire()
+        Thread.sleep(random.nextLong(MAX_PAUSE_MS))
+        registrations.drainPermits()
+        val listed = store.list(collection, allowStale = false)
+        registered = listed is ListedCollection.Items && listed.items.any(::isOwnAddress)
+        if (!registered) logger.info { "registering the address of this daemon again: the restored store does not have it" }
+    }
+
+    private fun isOwnAddress(item: CollectionItem): Boolean =
+        item.name == gossip.self.vm.text && item.text == gossip.self.inner.toString()
+
     // The first reads follow each other quickly, because daemons that start together register at about the same time.
     private fun read() {
         val pauseMs = if (readCount < initialPausesMs.size) initialPausesMs[readCount] else REFRESH_INTERVAL_MS
--- /dev/null
+++ b/endivestep/src/test/kotlin/org/endivestep/membership/DaemonDirectoryTest.kt
@@ -0,0 +1,89 @@
+package org.endivestep.membership
+
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import org.endivestep.configuration.noPosition
+import org.endivestep.identity.DataCentreName
+import org.endivestep.identity.VmName
+import org.endivestep.protocol.GossipCodec
+import org.endivestep.protocol.PeerAuthentication
+import org.endivestep.settings.Address
+import org.endivestep.store.CollectionItem
+import org.endivestep.store.CollectionName
+import org.endivestep.store.ListedCollection
+import org.endivestep.store.ObjectCollections
+import org.endivestep.store.ObjectVersion
+import org.endivestep.store.StoreRevision
+import org.endivestep.store.WatchedCollection
+import org.endivestep.store.WriteResult
+import java.net.DatagramSocket
+import java.util.SplittableRandom
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration.Companion.seconds
+
+private class AddressStore : ObjectCollections {
+    val addresses = ConcurrentHashMap<String, String>()
+    val writes = AtomicInteger()
+    val currentLists = AtomicInteger()
+
+    override fun list(collection: CollectionName, allowStale: Boolean): ListedCollection {
+        if (!allowStale) currentLists.incrementAndGet()
+        return ListedCollection.Items(addresses.map { CollectionItem(it.key, StoreRevision(1), it.value) }, StoreRevision(1))
+    }
+
+    override fun watch(collection: CollectionName, since: StoreRevision, timeoutMs: Long): WatchedCollection = error("not watched")
+
+    override fun write(collection: CollectionName, name: String, text: String): WriteResult {
+        addresses[name] = text
+        writes.incrementAndGet()
+        return WriteResult.Written(ObjectVersion("1"))
+    }
+}
+
+private fun gossip(): Gossip {
+    val self =
+        MemberInfo(
+            vm = VmName("vm-1"),
+            inner = Address("127.0.0.1", 7_001),
+            adminPort = 0,
+            dataCentre = DataCentreName("haarlem"),
+            incarnation = newDaemonIncarnation(1, "run"),
+            sequence = 1,
+            state = MemberState.ALIVE,
+            worker = null,
+        )
+    val protocol = GossipProtocol(self, SplittableRandom(1)) { noPosition }
+    return Gossip(protocol, GossipCodec(PeerAuthentication("secret")), DatagramSocket(0), { 0 }) { }
+}
+
+class DaemonDirectoryTest :
+    FunSpec({
+        // Guards against a daemon that cannot be found because a restore of the store has lost its address.
+        test("an address is written again only if a restored store has lost it") {
+            class Case(val name: String, val stored: String?, val writes: Int)
+            listOf(
+                Case("lost", null, 2),
+                Case("an earlier address", "127.0.0.1:6000", 2),
+                Case("still there", "127.0.0.1:7001", 1),
+            ).forEach { case ->
+                val store = AddressStore()
+                val directory = DaemonDirectory(store, gossip(), SplittableRandom(1)) { }
+                directory.start()
+                eventually(5.seconds) { store.writes.get() shouldBe 1 }
+                store.addresses.clear()
+                case.stored?.let { store.addresses["vm-1"] = it }
+                directory.registerAgain()
+                eventually(8.seconds) { store.currentLists.get() shouldBe 1 }
+                eventually(3.seconds) {
+                    withClue(case.name) {
+                        store.writes.get() shouldBe case.writes
+                        store.addresses["vm-1"] shouldBe "127.0.0.1:7001"
+                    }
+                }
+                directory.stop()
+            }
+        }
+    })
