--- a/endivestep/src/main/kotlin/org/endivestep/daemon/Daemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/Daemon.kt
@@ -104,7 +104,7 @@
     private val channels = PeerChannels(security)
     private val exchanges = ExchangeClient(channels, pools.uploads)
     private val control = ControlClient(channels)
-    private val protocol = GossipProtocol(initialMemberInfo(settings), random, overrides = overrides::entries) { adoption.version }
+    private val protocol = GossipProtocol(initialMemberInfo(settings), random, overrides = overrides::entries) { adoption.position }
     private val gossip: Gossip = Gossip(protocol, GossipCodec(security), udpSocket(), ::monotonicMs, ::handleGossipAction)
     private val supervisor: WorkerSupervisor = WorkerSupervisor(workers, admission, crashes, inFlight, gossip, ::document)
     private val applier: ConfigurationApplier =
@@ -248,6 +248,7 @@
             is GossipAction.FetchConfiguration -> configurationWatcher.fetchFrom(action.peer)
             is GossipAction.Suspicions -> crashes.merge(action.entries)
             is GossipAction.Overrides -> overrides.merge(action.entries)
+            is GossipAction.StoreRestored -> Unit
             is GossipAction.Send -> error("Send actions must be handled by Gossip")
         }
     }
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/GossipCodec.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/GossipCodec.kt
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString
 import com.google.protobuf.InvalidProtocolBufferException
+import org.endivestep.configuration.ConfigurationPosition
 import org.endivestep.identity.ConfigurationVersion
 import org.endivestep.identity.DaemonIncarnation
 import org.endivestep.identity.DataCentreName
@@ -20,6 +21,8 @@
 import org.endivestep.protocol.v1.Suspicion
 import org.endivestep.quarantine.SuspicionEntry
 import org.endivestep.settings.Address
+import org.endivestep.store.StoreEra
+import org.endivestep.store.StoreRevision
 
 private val wireTypes =
     mapOf(
@@ -103,7 +106,10 @@
             .setType(wireTypes.getValue(type))
             .setFrom(from.text)
             .setSequence(sequence)
-            .setConfigurationVersion(configurationVersion.number)
+            .setConfigurationVersion(configuration.version.number)
+            .setConfigurationEra(configuration.revision.era.number)
+            .setConfigurationRevision(configuration.revision.number)
+            .setStoreEra(storeEra.number)
             .setDigest(digest)
             .addAllMembers(members.map { it.toWire() })
             .addAllSuspicions(suspicions.map { it.toWire() })
@@ -119,7 +125,12 @@
         from = VmName(from),
         sequence = sequence,
         target = VmName(target).takeIf { target.isNotEmpty() },
-        configurationVersion = ConfigurationVersion(configurationVersion),
+        configuration =
+        ConfigurationPosition(
+            ConfigurationVersion(configurationVersion),
+            StoreRevision(configurationRevision, StoreEra(configurationEra)),
+        ),
+        storeEra = StoreEra(storeEra),
         members = membersList.mapNotNull { it.toInfo() },
         suspicions = suspicionsList.map { it.toEntry() },
         overrides = overridesList.mapNotNull { it.toOverride() },
--- a/endivestep/src/test/kotlin/org/endivestep/membership/GossipModelTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/membership/GossipModelTest.kt
@@ -11,6 +11,7 @@
 import io.kotest.property.arbitrary.list
 import io.kotest.property.arbitrary.long
 import io.kotest.property.checkAll
+import org.endivestep.configuration.ConfigurationPosition
 import org.endivestep.fakes.fuzz
 import org.endivestep.identity.ConfigurationVersion
 import org.endivestep.identity.DataCentreName
@@ -108,7 +109,7 @@
                 is GossipAction.Send -> send(from, action)
                 is GossipAction.FetchConfiguration -> fetch(from, action.peer.port)
                 is GossipAction.Synchronize -> synchronize(from, action.peer.port)
-                is GossipAction.Suspicions, is GossipAction.Overrides -> Unit
+                is GossipAction.Suspicions, is GossipAction.Overrides, is GossipAction.StoreRestored -> Unit
             }
         }
     }
@@ -145,7 +146,7 @@
                 state = MemberState.ALIVE,
                 worker = null,
             )
-        return GossipProtocol(self, random) { ConfigurationVersion(versions[index]) }
+        return GossipProtocol(self, random) { ConfigurationPosition(ConfigurationVersion(versions[index])) }
     }
 
     private companion object {
--- a/endivestep/src/test/kotlin/org/endivestep/membership/GossipScalingTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/membership/GossipScalingTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.doubles.shouldBeLessThan
+import org.endivestep.configuration.ConfigurationPosition
 import org.endivestep.identity.ConfigurationVersion
 import org.endivestep.identity.DataCentreName
 import org.endivestep.identity.ServiceName
@@ -97,7 +98,7 @@
             when (action) {
                 is GossipAction.Send -> send(from, action)
                 is GossipAction.FetchConfiguration -> fetch(from, action.peer.port)
-                is GossipAction.Synchronize, is GossipAction.Suspicions, is GossipAction.Overrides -> Unit
+                is GossipAction.Synchronize, is GossipAction.Suspicions, is GossipAction.Overrides, is GossipAction.StoreRestored -> Unit
             }
         }
 
@@ -131,7 +132,7 @@
                 state = MemberState.ALIVE,
                 worker = WorkerInfo(ServiceName("service-${index % 110}"), WorkerIncarnation("run-$index"), serving = true),
             )
-        return GossipProtocol(self, random) { ConfigurationVersion(versions[index]) }
+        return GossipProtocol(self, random) { ConfigurationPosition(ConfigurationVersion(versions[index])) }
     }
 }
 
