Soak the platform's daemons as real processes under faults drawn from a seed

No test of real processes injected faults into them: the process tests go through one fixed order of events, with workers that only answer well or refuse.

FaultSoakTest starts four daemons as processes, with callers and workers in its own process, and plays series of faults that overlap: daemons stopped, killed, paused and told to read their settings again; paths between daemons (TCP and UDP) and to the store delayed, reset, cut one way, silenced or refused; the store's history lost; configurations changed; workers that spoil their answers. Callers keep their connections until the daemon closes them. SoakRules compares what callers and workers saw with the platform's rules: MIXED, TWICE, REFUSED, UNASKED, CONFIG, LOST, RECOVER, and a line ENDED for a daemon that ends by itself.

Each daemon has a hosts file of its own, because it announces the address at which it also listens: the name stands for 127.0.0.1 on its own VM and for the address of a proxy elsewhere. First tried: another port of the store for each daemon. Daemons take the address of the store for their shared secret, so they refused one another's messages and none had a remote worker.

TcpProxy moved to test-shared, which the tests of both modules compile, and can now delay, discard in one direction, refuse and reset. Ports of the process tests are now below those that the kernel gives to outgoing connections: in one run such a connection had taken a daemon's port before it started. Logs of a restarted daemon are appended, not overwritten.

--- a/emulator/src/main/kotlin/org/endivestep/emulator/PlatformHeartbeats.kt
+++ b/emulator/src/main/kotlin/org/endivestep/emulator/PlatformHeartbeats.kt
@@ -1,5 +1,6 @@
 package org.endivestep.emulator
 
+import java.io.Closeable
 import java.io.IOException
 import java.net.URI
 import java.net.http.HttpClient
@@ -7,16 +8,20 @@
 import java.net.http.HttpResponse
 import java.time.Duration
 
-/** Sends the heartbeats of an emulated worker to the daemon on its VM until the process ends. */
-internal class PlatformHeartbeats(private val daemon: String, private val worker: PlatformWorkerBehaviour, private val service: String) {
+/** Sends the heartbeats of an emulated worker to the daemon on its VM until the process ends, or until closed. */
+internal class PlatformHeartbeats(private val daemon: String, private val worker: PlatformWorkerBehaviour, private val service: String) :
+    Closeable {
     private val client: HttpClient = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()
     private val bornMs = System.currentTimeMillis()
     private var sequence = 0
 
+    @Volatile
+    private var closed = false
+
     fun start(address: String) {
         val thread =
             Thread {
-                while (true) {
+                while (!closed) {
                     send("PUT", heartbeat(address))
                     Thread.sleep(HEARTBEAT_INTERVAL_MS)
                 }
@@ -27,6 +32,10 @@
 
     fun leave() = send("DELETE", "{}")
 
+    override fun close() {
+        closed = true
+    }
+
     private fun heartbeat(address: String): String =
         """{"service":"$service","address":"$address","zone":"","version":"v1","capacity":${worker.slots},"state":"ready",""" +
             """"cold_left_s":0,"sequence":${++sequence},"born":$bornMs}"""
--- a/emulator/src/test/kotlin/org/endivestep/emulator/PlatformFleet.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/PlatformFleet.kt
@@ -24,19 +24,35 @@
     lateinit var workerProcess: Process
 }
 
+/** How the daemons of a [PlatformFleet] reach one another and the store. */
+internal class FleetNetwork(
+    /** Host under which a daemon listens for other daemons, and which it announces to them. */
+    val host: (PlatformNode) -> String = { "127.0.0.1" },
+    /** Host under which all daemons reach the store; they take its address for their shared secret. */
+    val storeHost: String = "127.0.0.1",
+    val javaOptions: (PlatformNode) -> String? = { null },
+)
+
 /** Fleet of real processes on loopback: the emulated store of the platform, and on each of [nodes] a daemon with its worker. */
-internal class PlatformFleet(val nodes: List<PlatformNode>) : Closeable {
+internal class PlatformFleet(
+    val nodes: List<PlatformNode>,
+    private val network: FleetNetwork = FleetNetwork(),
+    private val storePort: Int = freePorts(1).first(),
+) : Closeable {
     private val directory = Files.createTempDirectory("platform-fleet").toFile()
     private val processes = mutableListOf<Process>()
-    private val storePort = freePorts(1).first()
     private val client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()
 
     fun start() {
+        startStore()
+        nodes.forEach(::startDaemon)
+        nodes.forEach(::startWorker)
+    }
+
+    fun startStore() {
         processes +=
             startProcess("org.endivestep.emulator.MainKt", listOf("platform-store", "--port", "$storePort"), File(directory, "store.log"))
         awaitCondition("the store answers") { runCatching { get("http://127.0.0.1:$storePort/counts").statusCode() }.getOrNull() == 200 }
-        nodes.forEach(::startDaemon)
-        nodes.forEach(::startWorker)
     }
 
     fun startDaemon(node: PlatformNode) {
@@ -50,8 +66,8 @@
 
     // bin/class-list passes JVM options in which VM stands for the name of the node's VM.
     private fun runtimeOptions(node: PlatformNode): Map<String, String> {
-        val options = System.getProperty("daemon.options") ?: return emptyMap()
-        return mapOf("JAVA_TOOL_OPTIONS" to options.replace("VM", node.vm))
+        val options = listOfNotNull(System.getProperty("daemon.options")?.replace("VM", node.vm), network.javaOptions(node))
+        return if (options.isEmpty()) emptyMap() else mapOf("JAVA_TOOL_OPTIONS" to options.joinToString(" "))
     }
 
     fun startWorker(node: PlatformNode) {
@@ -65,7 +81,9 @@
     fun write(kind: String, name: String, spec: String) {
         val body = """{"meta":{"name":"$name"},"spec":$spec,"status":null}"""
         val created = call("POST", "http://127.0.0.1:$storePort/-/objects/$kind", body)
-        if (created.statusCode() == CONFLICT) call("PUT", "http://127.0.0.1:$storePort/-/objects/$kind/$name", body)
+        val written =
+            if (created.statusCode() == CONFLICT) call("PUT", "http://127.0.0.1:$storePort/-/objects/$kind/$name", body) else created
+        check(written.statusCode() == 200) { "the store answered ${written.statusCode()} to the write of $kind/$name" }
     }
 
     fun delete(kind: String, name: String) {
@@ -104,6 +122,11 @@
 
     fun log(node: PlatformNode): String = File(directory, "${node.vm}.log").readText()
 
+    /** Copies the logs and settings of all processes so far to [target]. */
+    fun keepLogs(target: File) {
+        directory.copyRecursively(target, overwrite = true)
+    }
+
     override fun close() {
         processes.forEach { it.destroyForcibly() }
         processes.forEach { it.waitFor() }
@@ -127,7 +150,7 @@
         [daemon]
         vm = ${node.vm}
         data-centre = ${node.dataCentre}
-        host = 127.0.0.1
+        host = ${network.host(node)}
         ports = ${node.innerPort},${node.innerPort + 1}
         caller-address = 127.0.0.1:${node.callerPort}
         readiness-address = 127.0.0.1:${node.readinessPort}
@@ -138,7 +161,7 @@
         [data-centres]
         ${nodes.map { it.dataCentre }.distinct().joinToString("\n        ") { "$it = nl-west" }}
         [store]
-        address = 127.0.0.1:$storePort
+        address = ${network.storeHost}:$storePort
         [bounds]
         retry_ratio=0.2
         retry_slack=60
--- a/emulator/src/test/kotlin/org/endivestep/emulator/ProcessFleet.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/ProcessFleet.kt
@@ -2,6 +2,7 @@
 
 import java.io.Closeable
 import java.io.File
+import java.io.IOException
 import java.net.ServerSocket
 import java.net.URI
 import java.net.http.HttpClient
@@ -51,7 +52,9 @@
     )
 
 internal fun startProcess(main: String, arguments: List<String>, log: File, environment: Map<String, String> = emptyMap()): Process {
-    val builder = ProcessBuilder(javaCommand(main) + arguments).redirectErrorStream(true).redirectOutput(log)
+    val builder = ProcessBuilder(
+        javaCommand(main) + arguments,
+    ).redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log))
     builder.environment().putAll(environment)
     return builder.start()
 }
@@ -73,11 +76,24 @@
     lateinit var workerProcess: Process
 }
 
+/**
+ * Returns ports on which nothing listens. They are below those that the kernel gives to outgoing connections, which could otherwise
+ * take a port before its process starts, or while it restarts.
+ */
 internal fun freePorts(count: Int): List<Int> {
-    val sockets = List(count) { ServerSocket(0) }
+    val sockets = generateSequence { unusedPorts.random() }.mapNotNull(::listenOrNull).take(count).toList()
     return sockets.map { socket -> socket.use { it.localPort } }
 }
 
+private val unusedPorts = 22_000..32_000
+
+private fun listenOrNull(port: Int): ServerSocket? =
+    try {
+        ServerSocket(port)
+    } catch (_: IOException) {
+        null
+    }
+
 /** Fleet of real processes on loopback: a store, and on each of [nodes] a daemon with its worker. */
 internal class ProcessFleet(val nodes: List<FleetNode>, private val document: String) : Closeable {
     private val directory = Files.createTempDirectory("fleet").toFile()
--- /dev/null
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/SoakSchedule.kt
@@ -0,0 +1,105 @@
+package org.endivestep.emulator
+
+import kotlin.random.Random
+
+/** Faults of one series follow one another; those of different series overlap. */
+internal enum class FaultSeries(val kinds: List<FaultKind>) {
+    DAEMONS_OF_A(listOf(FaultKind.DAEMON_STOPPED, FaultKind.DAEMON_KILLED, FaultKind.DAEMON_PAUSED, FaultKind.SETTINGS_REREAD)),
+    DAEMONS_OF_B(DAEMONS_OF_A.kinds),
+    PEERS(listOf(FaultKind.PEERS_DELAYED, FaultKind.PEERS_RESET, FaultKind.PEERS_CUT_ONE_WAY, FaultKind.PEERS_SILENCED)),
+    STORE(
+        listOf(
+            FaultKind.STORE_DELAYED,
+            FaultKind.STORE_RESET,
+            FaultKind.STORE_AWAY,
+            FaultKind.STORE_SILENCED,
+            FaultKind.STORE_ANSWERS_LOST,
+            FaultKind.STORE_HISTORY_LOST,
+        ),
+    ),
+    ANSWERS(listOf(FaultKind.ANSWERS_SPOILT)),
+    CONFIGURATION(listOf(FaultKind.CONFIGURATION_CHANGED)),
+}
+
+internal enum class FaultKind {
+    /** SIGTERM, and SIGKILL after the time that the platform grants. */
+    DAEMON_STOPPED,
+    DAEMON_KILLED,
+    DAEMON_PAUSED,
+
+    /** SIGHUP. */
+    SETTINGS_REREAD,
+    PEERS_DELAYED,
+    PEERS_RESET,
+
+    /** What one daemon sends to all others is lost. */
+    PEERS_CUT_ONE_WAY,
+    PEERS_SILENCED,
+    STORE_DELAYED,
+    STORE_RESET,
+
+    /** Connections to the store are refused. */
+    STORE_AWAY,
+    STORE_SILENCED,
+    STORE_ANSWERS_LOST,
+    STORE_HISTORY_LOST,
+
+    /** The store loses its latest changes. No series has it yet, because the emulated store cannot be restored from a copy. */
+    STORE_RESTORED,
+
+    /** One worker spoils a share of its answers. */
+    ANSWERS_SPOILT,
+    CONFIGURATION_CHANGED,
+}
+
+/**
+ * One fault: it begins [pauseMs] after the end of the one before in its series, and lasts for [durationMs]. [target] is the index of
+ * the VM, and [severity] is between 0 and 1.
+ */
+internal data class SoakFault(val kind: FaultKind, val target: Int, val pauseMs: Long, val durationMs: Long, val severity: Double)
+
+/** All faults of one run, drawn from its seed. */
+internal class SoakSchedule(val series: Map<FaultSeries, List<SoakFault>>) {
+    override fun toString(): String = series.entries.joinToString("\n") { (series, faults) ->
+        "$series: ${faults.joinToString("\n  ", "\n  ")}"
+    }
+
+    companion object {
+        private const val MIN_PAUSE_MS = 300L
+        private const val MAX_PAUSE_MS = 3_000L
+        private const val MIN_DURATION_MS = 300L
+        private const val MAX_DURATION_MS = 4_500L
+
+        // Some rules hold only for daemons that are not disturbed, so not every run has all series of faults.
+        private const val SERIES_SHARE = 0.6
+        private const val VM_COUNT = 4
+
+        /** Draws the faults of the run [seed], which begin within [lengthMs]. */
+        fun draw(seed: Long, lengthMs: Long): SoakSchedule {
+            val random = Random(seed)
+            val drawn = FaultSeries.entries.associateWith { drawSeries(it, Random(random.nextLong()), lengthMs) }
+            val chosen = FaultSeries.entries.filter { random.nextDouble() < SERIES_SHARE } + FaultSeries.ANSWERS + FaultSeries.CONFIGURATION
+            return SoakSchedule(drawn.filterKeys { it in chosen })
+        }
+
+        private fun drawSeries(series: FaultSeries, random: Random, lengthMs: Long): List<SoakFault> {
+            val faults = mutableListOf<SoakFault>()
+            var endMs = 0L
+            while (true) {
+                val pauseMs = random.nextLong(MIN_PAUSE_MS, MAX_PAUSE_MS)
+                val durationMs = random.nextLong(MIN_DURATION_MS, MAX_DURATION_MS)
+                val fault = SoakFault(series.kinds.random(random), targetOf(series, random), pauseMs, durationMs, random.nextDouble())
+                if (endMs + pauseMs > lengthMs) return faults
+                endMs += pauseMs + durationMs
+                faults += fault
+            }
+        }
+
+        private fun targetOf(series: FaultSeries, random: Random): Int =
+            when (series) {
+                FaultSeries.DAEMONS_OF_A -> random.nextInt(VM_COUNT / 2)
+                FaultSeries.DAEMONS_OF_B -> VM_COUNT / 2 + random.nextInt(VM_COUNT / 2)
+                else -> random.nextInt(VM_COUNT)
+            }
+    }
+}
