Handle SIGHUP from the start of the program

What operators saw: a daemon that got SIGHUP within about a second of its start ended with exit code 129, so a change of settings during a restart took a VM out of service once more.

Cause: the handler was installed after the daemon and its classes were loaded; until then the signal ends the process. It is now the first thing that the program does, and requests to reload wait until the daemon has started. The time in which the runtime itself starts cannot be covered.

--- a/endivestep/src/main/kotlin/org/endivestep/commands/RunDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/commands/RunDaemon.kt
@@ -1,6 +1,7 @@
 package org.endivestep.commands
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import org.endivestep.concurrent.BackgroundLoop
 import org.endivestep.daemon.Daemon
 import org.endivestep.daemon.PlatformDaemon
 import org.endivestep.findings.Checked
@@ -11,6 +12,7 @@
 import java.io.File
 import java.io.IOException
 import java.util.concurrent.CountDownLatch
+import java.util.concurrent.Semaphore
 
 private val logger = KotlinLogging.logger {}
 
@@ -31,6 +33,9 @@
 
 /** Runs a daemon with the settings file that the platform has rendered, until SIGTERM or SIGINT. SIGHUP reloads the file. */
 internal fun runPlatformDaemon(): ExitCode {
+    // Without a handler SIGHUP ends the process, so there must be one before the daemon is loaded and started, which takes a while.
+    val reloads = Semaphore(0)
+    Signal.handle(Signal("HUP")) { reloads.release() }
     val path = System.getenv(SETTINGS_VARIABLE) ?: return fail(ExitCode.INVALID, "$SETTINGS_VARIABLE is not set")
     val text = readOrReport(path) ?: return ExitCode.INVALID
     val settings =
@@ -40,9 +45,12 @@
         }
     return runUntilSignal {
         val daemon = PlatformDaemon(settings)
-        // Without a handler, SIGHUP would end the process.
-        Signal.handle(Signal("HUP")) { reload(daemon, path) }
         daemon.start()
+        BackgroundLoop.start("reload-settings") {
+            reloads.acquire()
+            reloads.drainPermits()
+            reload(daemon, path)
+        }
         daemon::stop
     }
 }
