Log when only the retry budget kept a request from another attempt

The line of a refused request lists its attempts but not why no other followed, so an empty budget, a route without further attempts and a passed deadline look the same. The list now ends with retry-budget-exhausted where the budget alone decided. No decision changes.

--- a/endivestep/src/main/kotlin/org/endivestep/ingress/AttemptHistory.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/AttemptHistory.kt
@@ -13,7 +13,7 @@
     /** Number of attempts that were refused before they reached a worker and were rerouted to another daemon. */
     var reroutes = 0
 
-    /** One entry for each attempt: its VM, its result and its duration in ms. */
+    /** One entry for each attempt: its VM, its result and its duration in ms; then why no other attempt followed. */
     val trace = mutableListOf<String>()
 
     val count: Int get() = triedVms.size
@@ -27,6 +27,11 @@
         if (result is AttemptResult.Unknown) unknown = result
     }
 
+    /** Records that another attempt was possible, but the retry budget did not allow it. */
+    fun noteBudgetExhausted() {
+        trace += "retry-budget-exhausted"
+    }
+
     /**
      * Returns the result to report to the caller, or null before the first attempt. When any attempt may
      * have run, the request is never reported as not run.
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
@@ -66,8 +66,11 @@
                 continue
             }
             if (result is AttemptResult.Answered) withBudget(call) { it.noteAnswered() }
-            val finished = nextStep(result, facts(call, history)) == NextStep.FINISH
-            if (finished || (consumesBudget(result) && !withBudget(call) { it.trySpend() })) return checkNotNull(history.outcome())
+            if (nextStep(result, facts(call, history)) == NextStep.FINISH) return checkNotNull(history.outcome())
+            if (consumesBudget(result) && !withBudget(call) { it.trySpend() }) {
+                history.noteBudgetExhausted()
+                return checkNotNull(history.outcome())
+            }
             attemptId = AttemptId(randomId())
         }
     }
--- a/endivestep/src/test/kotlin/org/endivestep/ingress/DispatcherModelTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/ingress/DispatcherModelTest.kt
@@ -51,7 +51,7 @@
         SimulatedResult.LOST_BEFORE_RUN, SimulatedResult.LOST_AFTER_RUN -> AttemptResult.Unknown(UnknownReason.CONNECTION_LOST)
     }
 
-private fun routesOf(count: Int): List<Route> =
+internal fun routesOf(count: Int): List<Route> =
     (0 until count).map {
         val candidate = Candidate(VmName("vm-$it"), DataCentreName("haarlem"), "nl-west")
         Route(candidate, Peer(Address("127.0.0.1", 1 + it), DaemonIncarnation("1-$it")), isLocal = false)
