Earn retries by the requests that workers replied to, not by their answers alone

Cause: the retry budget earned its tenth by answers only. While workers refuse, it earns least and is needed most; spread over the daemons, each has less than one retry. A worker's own refusal now earns as an answer does, once for each request. What a daemon refuses itself and what ends unknown still earns nothing, so an overload or an outage gets no more retries.

Ruled out: refusals of daemons as the main cause (5 of 239 refused calls), one attempt only by the route (some calls were sent twice at 13 s). The bound over all daemons is the same: RetryBudgetSumTest keeps its figures, only the name of the call has changed.

--- a/endivestep/src/main/kotlin/org/endivestep/ingress/AttemptHistory.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/AttemptHistory.kt
@@ -3,6 +3,7 @@
 import org.endivestep.identity.VmName
 import org.endivestep.outcome.AttemptResult
 import org.endivestep.outcome.Load
+import org.endivestep.outcome.NotRunReason
 
 /** Attempts made so far for one request. Not thread-safe. */
 internal class AttemptHistory {
@@ -13,6 +14,10 @@
     /** Number of attempts that were refused before they reached a worker and were rerouted to another daemon. */
     var reroutes = 0
 
+    /** Whether a worker replied to an attempt, with an answer or with its own refusal. */
+    var workerReplied = false
+        private set
+
     /** One entry for each attempt: its VM, its result and its duration in ms; then why no other attempt followed. */
     val trace = mutableListOf<String>()
 
@@ -24,6 +29,7 @@
         trace += "${vm.text}=${result.summary()}/${elapsedMs}ms"
         triedVms += vm
         last = result
+        if (result.isWorkerReply()) workerReplied = true
         if (result is AttemptResult.Unknown) unknown = result
     }
 
@@ -42,6 +48,13 @@
     }
 }
 
+private fun AttemptResult.isWorkerReply(): Boolean =
+    when (this) {
+        is AttemptResult.Answered -> true
+        is AttemptResult.NotRun -> reason == NotRunReason.WORKER_SHED
+        is AttemptResult.Unknown -> false
+    }
+
 private fun AttemptResult.summary(): String =
     when (this) {
         is AttemptResult.Answered -> "${head.status}"
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
@@ -58,6 +58,7 @@
             val route = chooseRoute(call, history) ?: return history.outcome() ?: AttemptResult.NotRun(NotRunReason.NO_WORKER)
             val startMs = monotonicMs()
             val result = tryOnce(route, call, attemptId, maxWaitMs(call, history))
+            val repliedBefore = history.workerReplied
             history.add(route.candidate.vm, result, monotonicMs() - startMs)
             call.trace = history.trace
             if (shouldReroute(result, history)) {
@@ -65,7 +66,7 @@
                 attemptId = AttemptId(randomId())
                 continue
             }
-            if (result is AttemptResult.Answered) withBudget(call) { it.noteAnswered() }
+            if (history.workerReplied && !repliedBefore) withBudget(call) { it.noteReplied() }
             if (nextStep(result, facts(call, history)) == NextStep.FINISH) return checkNotNull(history.outcome())
             if (consumesBudget(result) && !withBudget(call) { it.trySpend() }) {
                 history.noteBudgetExhausted()
--- a/endivestep/src/main/kotlin/org/endivestep/retry/RetryBudget.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/retry/RetryBudget.kt
@@ -3,8 +3,9 @@
 import org.endivestep.document.RetrySettings
 
 /**
- * Token bucket that limits the retries of one service to a share of its answered requests, so that
- * retries cannot amplify an overload. The bucket starts full: an idle service has a small reserve.
+ * Token bucket that limits the retries of one service to a share of the requests to which its workers replied, so
+ * that retries cannot amplify an overload. A worker's own refusal is a reply as well: otherwise the budget would be
+ * empty when most workers refuse. The bucket starts full: an idle service has a small reserve.
  *
  * A pure state machine. Not thread-safe.
  */
@@ -16,8 +17,8 @@
         tokens = tokens.coerceAtMost(settings.reserve.toDouble())
     }
 
-    /** Adds the share of a retry that an answered request earns. */
-    fun noteAnswered() {
+    /** Adds the share of a retry that a request earns to which a worker replied; to be called once for each request. */
+    fun noteReplied() {
         tokens = (tokens + settings.ratio).coerceAtMost(settings.reserve.toDouble())
     }
 
--- a/endivestep/src/test/kotlin/org/endivestep/retry/RetryBudgetSumTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/retry/RetryBudgetSumTest.kt
@@ -26,7 +26,7 @@
                     val budget = budgets[daemon]
                     // Each request is retried as often as the budget allows, and then answered.
                     while (budget.trySpend()) retries++
-                    budget.noteAnswered()
+                    budget.noteReplied()
                 }
                 budgets.forEach { budget -> while (budget.trySpend()) retries++ }
                 withClue("${requests.size} requests") {
