--- a/endivestep/src/main/kotlin/org/endivestep/ingress/AttemptHistory.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/AttemptHistory.kt
@@ -3,6 +3,7 @@
 import org.endivestep.identity.VmName
 import org.endivestep.outcome.AttemptResult
 import org.endivestep.outcome.Load
+import org.endivestep.outcome.NotRunReason
 
 /** Attempts made so far for one request. Not thread-safe. */
 internal class AttemptHistory {
@@ -13,7 +14,11 @@
     /** Number of attempts that were refused before they reached a worker and were rerouted to another daemon. */
     var reroutes = 0
 
-    /** One entry for each attempt: its VM, its result and its duration in ms. */
+    /** Whether a worker replied to an attempt, with an answer or with its own refusal. */
+    var workerReplied = false
+        private set
+
+    /** One entry for each attempt: its VM, its result and its duration in ms; then why no other attempt followed. */
     val trace = mutableListOf<String>()
 
     val count: Int get() = triedVms.size
@@ -24,9 +29,15 @@
         trace += "${vm.text}=${result.summary()}/${elapsedMs}ms"
         triedVms += vm
         last = result
+        if (result.isWorkerReply()) workerReplied = true
         if (result is AttemptResult.Unknown) unknown = result
     }
 
+    /** Records that another attempt was possible, but the retry budget did not allow it. */
+    fun noteBudgetExhausted() {
+        trace += "retry-budget-exhausted"
+    }
+
     /**
      * Returns the result to report to the caller, or null before the first attempt. When any attempt may
      * have run, the request is never reported as not run.
@@ -37,6 +48,13 @@
     }
 }
 
+private fun AttemptResult.isWorkerReply(): Boolean =
+    when (this) {
+        is AttemptResult.Answered -> true
+        is AttemptResult.NotRun -> reason == NotRunReason.WORKER_SHED
+        is AttemptResult.Unknown -> false
+    }
+
 private fun AttemptResult.summary(): String =
     when (this) {
         is AttemptResult.Answered -> "${head.status}"
