--- a/endivestep/src/test/kotlin/org/endivestep/daemon/RestoredStoreModelTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/daemon/RestoredStoreModelTest.kt
@@ -111,22 +111,9 @@
     fun apply(action: StoreAction) {
         nowMs += STEP_MS
         rewritesAtMs?.let { if (nowMs >= it) rewrite() }
-        val who = action.who % DAEMONS
-        val isSettled = rewritesAtMs == null
-        when (action.step) {
-            StoreStep.CONFIGURE -> if (isSettled) configure()
-            StoreStep.TAKE_OUT -> if (isSettled && !wantsOut) takeOut()
-            StoreStep.TAKE_BACK -> if (isSettled && wantsOut) takeBack()
-            StoreStep.COPY -> copy = store.state
-            StoreStep.RESTORE -> restore()
-            StoreStep.OLD_LISTS -> store.old = store.state
-            StoreStep.LATE_ANSWER -> store.nextAnswerIsLate = true
-            StoreStep.FOLLOW -> daemons[who].follow()
-            StoreStep.HANG -> daemons[who].hangs = true
-            StoreStep.GOSSIP -> gossip(who, action.other % DAEMONS)
-            StoreStep.START -> start(who, action.other % DAEMONS)
-            StoreStep.WAIT -> nowMs += STEP_MS * action.other
-        }
+        if (rewritesAtMs == null) operatorStep(action.step)
+        storeStep(action)
+        daemonStep(action.step, action.who % DAEMONS, action.other % DAEMONS)
         check()
     }
 
@@ -147,6 +134,36 @@
         }
     }
 
+    private fun operatorStep(step: StoreStep) {
+        when (step) {
+            StoreStep.CONFIGURE -> configure()
+            StoreStep.TAKE_OUT -> if (!wantsOut) takeOut()
+            StoreStep.TAKE_BACK -> if (wantsOut) takeBack()
+            else -> Unit
+        }
+    }
+
+    private fun storeStep(action: StoreAction) {
+        when (action.step) {
+            StoreStep.COPY -> copy = store.state
+            StoreStep.RESTORE -> restore()
+            StoreStep.OLD_LISTS -> store.old = store.state
+            StoreStep.LATE_ANSWER -> store.nextAnswerIsLate = true
+            StoreStep.WAIT -> nowMs += STEP_MS * action.other
+            else -> Unit
+        }
+    }
+
+    private fun daemonStep(step: StoreStep, who: Int, other: Int) {
+        when (step) {
+            StoreStep.FOLLOW -> daemons[who].follow()
+            StoreStep.HANG -> daemons[who].hangs = true
+            StoreStep.GOSSIP -> gossip(who, other)
+            StoreStep.START -> start(who, other)
+            else -> Unit
+        }
+    }
+
     private fun newDaemon() = ModelDaemon(store, ::nowMs)
 
     private fun configure() = store.write(CONFIGURATION, "main", configuration(++version, ++content))
