--- a/emulator/src/main/kotlin/org/endivestep/emulator/PlatformStoreServer.kt
+++ b/emulator/src/main/kotlin/org/endivestep/emulator/PlatformStoreServer.kt
@@ -18,7 +18,11 @@
 import org.http4k.routing.routes
 import java.util.concurrent.atomic.AtomicLong
 
-/** Serves [PlatformObjects] over the API of the platform's store and counts the calls. Faults are injected at `/faults`. */
+/**
+ * Serves [PlatformObjects] over the API of the platform's store and counts the calls.
+ *
+ * Faults are injected at `/faults`, and the store is restored from a copy at `/emulator/restore`.
+ */
 internal class PlatformStoreServer(private val objects: PlatformObjects = PlatformObjects()) {
     private val calls = AtomicLong()
 
@@ -31,6 +35,7 @@
             "/-/objects/{kind}" bind Method.POST to { call { create(it.path("kind").orEmpty(), it) }(it) },
             "/-/objects/{kind}/{name}" bind Method.PUT to { call(::replace)(it) },
             "/-/objects/{kind}/{name}" bind Method.DELETE to { call(::delete)(it) },
+            "/emulator/restore" bind Method.POST to ::restore,
             "/faults" bind Method.POST to ::setFaults,
             "/counts" bind Method.GET to { Response(Status.OK).body("calls=$calls\n") },
         )
@@ -38,7 +43,8 @@
     private fun call(action: (Request) -> Response): HttpHandler =
         { request ->
             calls.incrementAndGet()
-            faultStatus?.let { Response(it) } ?: action(request)
+            val answer = faultStatus?.let { Response(it) } ?: action(request)
+            answer.header(ERA_HEADER, "${objects.era}")
         }
 
     private fun read(kind: String, request: Request): Response {
@@ -84,6 +90,13 @@
         return Response(Status.OK)
     }
 
+    // seconds=N restores the store from a copy that is N seconds old.
+    private fun restore(request: Request): Response {
+        val seconds = request.query("seconds")?.toDoubleOrNull() ?: return Response(Status.BAD_REQUEST)
+        objects.restore(seconds)
+        return Response(Status.OK)
+    }
+
     private fun PlatformObject.toJson(): JsonObject {
         val meta = mapOf("name" to JsonPrimitive(name), "rev" to JsonPrimitive(revision))
         return JsonObject(mapOf("meta" to JsonObject(meta), "spec" to spec, "status" to JsonNull))
@@ -91,4 +104,8 @@
 
     private fun json(content: Map<String, kotlinx.serialization.json.JsonElement>): Response =
         Response(Status.OK).header("Content-Type", "application/json").body(JsonObject(content).toString())
+
+    private companion object {
+        const val ERA_HEADER = "Store-Era"
+    }
 }
--- a/emulator/src/test/kotlin/org/endivestep/emulator/PlatformFleet.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/PlatformFleet.kt
@@ -76,6 +76,11 @@
         call("POST", "http://127.0.0.1:$storePort/faults?$query", "")
     }
 
+    /** Restores the store from a copy that is [seconds] old. */
+    fun restoreStore(seconds: Double) {
+        call("POST", "http://127.0.0.1:$storePort/emulator/restore?seconds=$seconds", "")
+    }
+
     fun storeCalls(): Long = get("http://127.0.0.1:$storePort/counts").body().trim().substringAfter("calls=").toLong()
 
     fun isReady(node: PlatformNode): Boolean =
