Restore the store from a copy in the fault soak

Each seed now also has up to two restores: the store is away, comes back from a copy up to 10 s old, and the operator writes the latest configuration again a moment later. They are drawn apart, so that a seed keeps the faults of its other series.

--- a/emulator/src/test/kotlin/org/endivestep/emulator/SoakFaults.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/SoakFaults.kt
@@ -73,6 +73,7 @@
             FaultKind.STORE_DELAYED -> disturbStore(affected, fault, LinkFault(delayMs = delayMs(fault)))
             FaultKind.STORE_SILENCED -> disturbStore(affected, fault, silenced.there)
             FaultKind.STORE_ANSWERS_LOST -> disturbStore(affected, fault, LinkFault(discardsResponses = true))
+            FaultKind.STORE_RESTORED -> restoreStore(fault)
             FaultKind.STORE_AWAY ->
                 disturbStore(affected, fault, LinkFault(refusesConnections = true)) { network.resetStore(affected) }
             else -> error("not a fault of the store: $fault")
@@ -80,7 +81,27 @@
     }
 
     /** Writes the next configuration to the store, as the operator would. */
-    fun configure() = history.configure { fleet.write("config", "main", SoakConfiguration.text(it)) }
+    @Synchronized
+    fun configure() = history.configure(::write)
+
+    private fun write(configuration: Int) = fleet.write("config", "main", SoakConfiguration.text(configuration))
+
+    private fun restoreStore(fault: SoakFault) =
+        history.disturb(emptyList(), affectsStore = true) {
+            network.disturbStore(fleet.nodes, LinkFault(refusesConnections = true))
+            network.resetStore(fleet.nodes)
+            Thread.sleep(fault.durationMs / 4)
+            restoreAndRewrite(fault)
+        }
+
+    // The daemons see the copy before the operator writes the latest configuration again. Meanwhile no other one is written.
+    @Synchronized
+    private fun restoreAndRewrite(fault: SoakFault) {
+        fleet.restoreStore(fault.severity * MAX_COPY_AGE_SECONDS)
+        network.disturbStore(fleet.nodes, LinkFault())
+        Thread.sleep(fault.durationMs / 8)
+        write(history.configurationCount - 1)
+    }
 
     private fun stop(node: PlatformNode, fault: SoakFault) =
         changeProcess(node, isPlanned = true) {
@@ -144,5 +165,6 @@
         const val SUPERVISION_INTERVAL_MS = 200L
         const val GRACE_SECONDS = 6L
         const val MAX_DELAY_MS = 400
+        const val MAX_COPY_AGE_SECONDS = 10.0
     }
 }
--- a/emulator/src/test/kotlin/org/endivestep/emulator/SoakSchedule.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/SoakSchedule.kt
@@ -19,6 +19,7 @@
     ),
     ANSWERS(listOf(FaultKind.ANSWERS_SPOILT)),
     CONFIGURATION(listOf(FaultKind.CONFIGURATION_CHANGED)),
+    RESTORES(listOf(FaultKind.STORE_RESTORED)),
 }
 
 internal enum class FaultKind {
@@ -44,7 +45,7 @@
     STORE_ANSWERS_LOST,
     STORE_HISTORY_LOST,
 
-    /** The store loses its latest changes. No series has it yet, because the emulated store cannot be restored from a copy. */
+    /** The store is away, comes back from a copy without its latest changes, and the operator writes again what was lost. */
     STORE_RESTORED,
 
     /** One worker spoils a share of its answers. */
@@ -73,15 +74,20 @@
         // Some rules hold only for daemons that are not disturbed, so not every run has all series of faults.
         private const val SERIES_SHARE = 0.6
         private const val VM_COUNT = 4
+        private const val MAX_RESTORES = 2
 
         /** Draws the faults of the run [seed], which begin within [lengthMs]. */
         fun draw(seed: Long, lengthMs: Long): SoakSchedule {
             val random = Random(seed)
-            val drawn = FaultSeries.entries.associateWith { drawSeries(it, Random(random.nextLong()), lengthMs) }
-            val chosen = FaultSeries.entries.filter { random.nextDouble() < SERIES_SHARE } + FaultSeries.ANSWERS + FaultSeries.CONFIGURATION
-            return SoakSchedule(drawn.filterKeys { it in chosen })
+            val drawn = (FaultSeries.entries - FaultSeries.RESTORES).associateWith { drawSeries(it, Random(random.nextLong()), lengthMs) }
+            val chosen = drawn.keys.filter { random.nextDouble() < SERIES_SHARE } + FaultSeries.ANSWERS + FaultSeries.CONFIGURATION
+            return SoakSchedule(drawn.filterKeys { it in chosen } + (FaultSeries.RESTORES to drawRestores(seed, lengthMs)))
         }
 
+        // Drawn apart, so that a seed keeps the faults of the other series.
+        private fun drawRestores(seed: Long, lengthMs: Long): List<SoakFault> =
+            drawSeries(FaultSeries.RESTORES, Random(seed.inv()), lengthMs).take(MAX_RESTORES)
+
         private fun drawSeries(series: FaultSeries, random: Random, lengthMs: Long): List<SoakFault> {
             val faults = mutableListOf<SoakFault>()
             var endMs = 0L
