--- a/emulator/src/main/kotlin/org/endivestep/emulator/PlatformObjects.kt
+++ b/emulator/src/main/kotlin/org/endivestep/emulator/PlatformObjects.kt
@@ -32,13 +32,7 @@
     /** Creates the object, or returns null when it exists. */
     fun create(kind: String, name: String, spec: JsonElement): PlatformObject? =
         synchronized(lock) {
-            if (kind to name in
-                objects
-            ) {
-                null
-            } else {
-                record(PlatformObject(kind, name, spec, revision + 1, deleted = false))
-            }
+            if (objects.containsKey(kind to name)) null else record(PlatformObject(kind, name, spec, revision + 1, deleted = false))
         }
 
     /** Replaces the object, or returns null when there is none or [expected] is not its revision. */
--- a/emulator/src/main/kotlin/org/endivestep/emulator/SpoilingWorkerServer.kt
+++ b/emulator/src/main/kotlin/org/endivestep/emulator/SpoilingWorkerServer.kt
@@ -100,17 +100,20 @@
         return when {
             request.startLine.split(' ')[1] == HEALTH_PATH -> plain("200 OK", "X-Instance-Id: ${behaviour.id}\r\n$loadHeader")
             id == null -> plain("400 Bad Request", "X-Not-Run: 1\r\n")
-            expected != null && expected != behaviour.id -> plain("421 Misdirected Request", "X-Instance-Id: ${behaviour.id}\r\n")
-            running.incrementAndGet() > behaviour.slots -> refusal()
+            expected != null && expected != behaviour.id ->
+                plain("421 Misdirected Request", echo(id) + "X-Instance-Id: ${behaviour.id}\r\n")
+            running.incrementAndGet() > behaviour.slots -> refusal(id)
             else -> run(request, id, followsCopy)
         }
     }
 
-    private fun refusal(): Answer {
+    private fun refusal(id: String): Answer {
         running.decrementAndGet()
-        return plain("503 Service Unavailable", "X-Not-Run: 1\r\n$loadHeader")
+        return plain("503 Service Unavailable", echo(id) + "X-Not-Run: 1\r\n$loadHeader")
     }
 
+    private fun echo(id: String) = "X-Request-Id: $id\r\n"
+
     private fun run(request: RawHttpMessage, id: String, followsCopy: Boolean): Answer {
         val fault = chooseFault()
         val target = request.startLine.substringBeforeLast(' ')
@@ -135,7 +138,7 @@
                 else -> "Content-Length: ${body.size}"
             }
         val status = if (fault == AnswerFault.SERVER_ERROR) "500 Internal Server Error" else "200 OK"
-        val requestId = if (fault == AnswerFault.WITHOUT_REQUEST_ID) "" else "X-Request-Id: $id\r\n"
+        val requestId = if (fault == AnswerFault.WITHOUT_REQUEST_ID) "" else echo(id)
         val signature = if (fault == AnswerFault.WITHOUT_SIGNATURE) "" else "X-Server-Stamp: ${AnswerContent.signature(id)}\r\n"
         val head = "HTTP/1.1 $status\r\n$requestId$signature$loadHeader$end\r\n\r\n".toByteArray()
         val content = if (chunks && fault != AnswerFault.TRUNCATED_BY_RESET) RawHttpMessage.chunked(body) else body
--- a/emulator/src/test/kotlin/org/endivestep/emulator/KilledWorkerProcessTest.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/KilledWorkerProcessTest.kt
@@ -23,10 +23,7 @@
             val responses = reads.map { it.get(30, TimeUnit.SECONDS) }
             val reasons = responses.groupingBy { it.outcome() + " " + it.headers().firstValue("Endivestep-Reason").orElse("") }.eachCount()
             withClue({ "$reasons\n" + fleet.logLines(order1, "\"attempts\"").joinToString("\n") }) {
-                responses.forEach {
-                    it.outcome() shouldBe
-                        "answered"
-                }
+                responses.forEach { it.outcome() shouldBe "answered" }
             }
         }
     })
