Review case 4: a client's deadline as far from the timeout as the site's

The client waited 8 s where the route's timeout is 2.5 s; the site's classes have twice the timeout, so it is 5 s now.

--- a/review/standins/src/review/StallCase.java
+++ b/review/standins/src/review/StallCase.java
@@ -9,6 +9,7 @@
 final class StallCase {
     private static final int BODY_BYTES = 8 * 1024 * 1024;
     private static final double TIMEOUT_S = 2.5;
+    private static final int CLIENT_MS = 5_000;
 
     private StallCase() {}
 
@@ -31,7 +32,7 @@
             Thread.sleep(5_000);
             Site.Machine machine = site.machines.get(0);
             try (Client client = new Client(machine, record)) {
-                if (client.send("design.example", "POST", "/design/first", new byte[BODY_BYTES], 8_000).status != 200) return 2;
+                if (client.send("design.example", "POST", "/design/first", new byte[BODY_BYTES], CLIENT_MS).status != 200) return 2;
             }
             // Of the uploads that come to the worker on this machine, nine of twenty are not read and not answered.
             if (trouble) {
@@ -49,7 +50,7 @@
                 int one = i;
                 threads.add(Http.daemonThread(() -> {
                     try (Client client = new Client(machine, record)) {
-                        Record.Sent end = client.send("design.example", "POST", "/design/" + one, new byte[BODY_BYTES], 8_000);
+                        Record.Sent end = client.send("design.example", "POST", "/design/" + one, new byte[BODY_BYTES], CLIENT_MS);
                         synchronized (sent) {
                             sent.add(end);
                         }
