--- a/review/standins/src/review/ColdCase.java
+++ b/review/standins/src/review/ColdCase.java
@@ -37,18 +37,18 @@
             Thread.sleep(5_000);
             AtomicBoolean ended = new AtomicBoolean();
             List<Thread> clients = new ArrayList<>();
-            // 12 payouts and 36 reads of the ledger a second, in equal parts from the three zones.
-            for (int i = 0; i < 48; i++) {
+            // 12 payouts and 33 reads of the ledger a second, in equal parts from the three zones.
+            for (int i = 0; i < 45; i++) {
                 int one = i;
                 Site.Machine machine = site.machines.get(i % 3);
                 clients.add(Http.daemonThread(() -> requests(record, machine, one, ended)));
-                Thread.sleep(21);
+                Thread.sleep(22);
             }
             Thread.sleep(4_000);
             if (trouble) {
                 site.storeServer.write("evacuations", "agadir", Map.of());
                 record.note("agadir is to be emptied");
-                Thread.sleep(8_000);
+                Thread.sleep(5_500);
                 workers[0].awaitHeartbeat();
                 Thread.sleep(200);
                 workers[0].turnCold(3_000);
