Log each decision on a worker's death and on the suspicion of a request

What was missing: a death had one line with the number of its suspects. The three hypotheses on the request that crashed nine workers could not be told apart: which requests were in flight, by what the death was found, which requests were left out as answered recently, which entries were merged, cleared, evicted or expired.

--- a/endivestep/src/main/kotlin/org/endivestep/daemon/Daemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/Daemon.kt
@@ -64,6 +64,7 @@
 import org.endivestep.protocol.callExecutorSupplier
 import org.endivestep.protocol.toInfo
 import org.endivestep.quarantine.Quarantine
+import org.endivestep.quarantine.suspicionLog
 import org.endivestep.settings.Address
 import org.endivestep.settings.DaemonSettings
 import org.endivestep.store.httpObjectStore
@@ -95,7 +96,7 @@
     private val adoption: ConfigurationAdoption = ConfigurationAdoption { applier.adopted(it) }
     private val workers = WorkerRegistry()
     private val admission = AdmissionQueue(unconfiguredLimits, ::monotonicMs)
-    private val quarantine = Quarantine(unconfiguredQuarantine, ::monotonicMs)
+    private val quarantine = Quarantine(unconfiguredQuarantine, suspicionLog(), ::monotonicMs)
     private val inFlight = InFlightRequests(LOST_REQUEST_RETENTION_MS, ::monotonicMs)
     private val crashes = CrashDetector(quarantine, inFlight, workers, ::listensAt) { supervisor.workerDied(it) }
     private val attempts = AttemptRegistry(::fenceRetentionMs, ::monotonicMs)
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -69,6 +69,7 @@
 import org.endivestep.protocol.senderInterceptor
 import org.endivestep.protocol.toInfo
 import org.endivestep.quarantine.Quarantine
+import org.endivestep.quarantine.suspicionLog
 import org.endivestep.settings.Address
 import org.endivestep.store.CurrentStoreEra
 import org.endivestep.store.StoreEra
@@ -106,7 +107,7 @@
     private val profiles = KindProfiles()
     private val workers = WorkerRegistry()
     private val admission = AdmissionQueue(limitsBeforeHeartbeat, ::monotonicMs)
-    private val quarantine = Quarantine(quarantineSettings, ::monotonicMs)
+    private val quarantine = Quarantine(quarantineSettings, suspicionLog(), ::monotonicMs)
     private val inFlight = InFlightRequests(LOST_REQUEST_RETENTION_MS, ::monotonicMs)
     private val crashes = CrashDetector(quarantine, inFlight, workers, ::listensAt) { supervisor.workerDied(it) }
     private val attempts = AttemptRegistry({ FENCE_RETENTION_MS }, ::monotonicMs)
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/WorkerSupervisor.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/WorkerSupervisor.kt
@@ -82,7 +82,6 @@
 
     /** Notifies peers that the worker died and of the requests that are suspected of crashing it, and refuses those that wait for it. */
     fun workerDied(entries: List<SuspicionEntry>) {
-        logger.warn { "the worker died; ${entries.size} requests in flight are suspected of crashing it" }
         workers.worker?.let(::publishWorker)
         gossip.pushUpdate(entries)
         admission.refuseUnrunnable()
@@ -90,7 +89,9 @@
 
     /** Marks [worker] as dead because nothing listens at its address, and notifies peers. */
     fun workerNotListening(worker: LocalWorker) {
-        if (workers.markDead(worker.announcement.incarnation) != null) workerDied(emptyList())
+        if (workers.markDead(worker.announcement.incarnation) == null) return
+        logger.warn { "the worker ${worker.announcement.incarnation.text} does not listen any more" }
+        workerDied(emptyList())
     }
 
     private companion object {
--- a/endivestep/src/main/kotlin/org/endivestep/egress/CrashDetector.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/CrashDetector.kt
@@ -1,5 +1,6 @@
 package org.endivestep.egress
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import org.endivestep.exchange.AttemptRequest
 import org.endivestep.identity.Fingerprint
 import org.endivestep.quarantine.Quarantine
@@ -7,9 +8,17 @@
 import org.endivestep.quarantine.SuspicionLevel
 import org.endivestep.settings.Address
 
+private val logger = KotlinLogging.logger {}
+
 /** Returns whether a process is listening at the address. */
 internal typealias ListenCheck = (Address) -> Boolean
 
+/** What showed that a worker died. */
+private enum class DeathEvidence(val text: String) {
+    NOT_LISTENING("a connection was lost and nothing listens any more"),
+    OTHER_RUN("another run announced itself"),
+}
+
 /**
  * Detects that the worker died and records which requests were in flight.
  *
@@ -38,18 +47,28 @@
     }
 
     /** Records that another run of the worker started while [died] was considered to be serving. */
-    fun workerReplaced(died: LocalWorker) = recordDeath(died)
+    fun workerReplaced(died: LocalWorker) = recordDeath(died, DeathEvidence.OTHER_RUN)
 
     /** Merges suspicion entries received from other daemons. */
     fun merge(entries: List<SuspicionEntry>) = synchronized(quarantine) { entries.forEach(quarantine::merge) }
 
     private fun onWorkerUnreachable(worker: LocalWorker) {
-        if (workers.markDead(worker.announcement.incarnation) != null) recordDeath(worker)
+        if (workers.markDead(worker.announcement.incarnation) != null) recordDeath(worker, DeathEvidence.NOT_LISTENING)
     }
 
-    private fun recordDeath(worker: LocalWorker) {
+    private fun recordDeath(worker: LocalWorker, evidence: DeathEvidence) {
         val fingerprints = inFlight.takeAtDeath()
         val entries = synchronized(quarantine) { quarantine.workerDied(worker.announcement.incarnation, fingerprints) }
+        logger.atWarn {
+            message = "the worker died"
+            payload =
+                mapOf(
+                    "worker" to worker.announcement.incarnation.text,
+                    "evidence" to evidence.text,
+                    "inFlight" to fingerprints.map { it.text },
+                    "suspects" to entries.map { it.fingerprint.text },
+                )
+        }
         onDeath(entries)
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/RequestLog.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/RequestLog.kt
@@ -51,6 +51,7 @@
             if (result.reason.isNotEmpty()) put("reason", result.reason)
             put("route", result.rule?.name?.text ?: "none for ${request.header("Host")}${request.target}")
             result.call?.let { put("service", it.service.name.text) }
+            if (result.outcome != FinalOutcome.ANSWERED) result.call?.let { put("fingerprint", it.fingerprint.text) }
             put("elapsedMs", elapsedMs)
             put("deadlineMs", request.header(headers.deadlineMs).orEmpty())
             result.rule?.let { put("objectiveMs", it.objectiveMs) }
--- a/endivestep/src/main/kotlin/org/endivestep/quarantine/Quarantine.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/quarantine/Quarantine.kt
@@ -34,9 +34,13 @@
  * answered is cleared. A request that was in flight at [QuarantineSettings.deaths] worker deaths is
  * refused until the entry expires.
  *
- * A pure state machine: times are in ms. Not thread-safe.
+ * A pure state machine: times are in ms; [onChange] is told of each change of an entry. Not thread-safe.
  */
-internal class Quarantine(private var settings: QuarantineSettings, private val clockMs: () -> Long) {
+internal class Quarantine(
+    private var settings: QuarantineSettings,
+    private val onChange: (SuspicionChange) -> Unit = { },
+    private val clockMs: () -> Long,
+) {
     private class Entry(var deaths: Set<WorkerIncarnation>, var untilMs: Long, var lone: Boolean)
 
     private val entries = HashMap<Fingerprint, Entry>()
@@ -59,9 +63,11 @@
 
     /** Records that [worker] died with [inFlight] in flight; returns the entries to send to other daemons. */
     fun workerDied(worker: WorkerIncarnation, inFlight: Collection<Fingerprint>): List<SuspicionEntry> {
-        val suspects = inFlight.toSet().filterNot(::answeredRecently)
+        val (exempt, suspects) = inFlight.toSet().partition(::answeredRecently)
+        exempt.forEach { report(it, SuspicionCause.ANSWERED_RECENTLY) }
         return suspects.map { fingerprint ->
-            merge(SuspicionEntry(fingerprint, setOf(worker), settings.durationMs, lone = suspects.size == 1))
+            add(SuspicionEntry(fingerprint, setOf(worker), settings.durationMs, lone = suspects.size == 1))
+            report(fingerprint, SuspicionCause.IN_FLIGHT_AT_DEATH)
             toSuspicionEntry(fingerprint, entries.getValue(fingerprint))
         }
     }
@@ -71,11 +77,18 @@
         answeredMs.remove(fingerprint)
         answeredMs[fingerprint] = clockMs()
         if (answeredMs.size > MAX_ENTRIES) answeredMs.remove(answeredMs.keys.first())
-        if (suspicionLevel(fingerprint) != SuspicionLevel.QUARANTINED) entries.remove(fingerprint)
+        if (suspicionLevel(fingerprint) == SuspicionLevel.QUARANTINED) return
+        if (entries.remove(fingerprint) != null) report(fingerprint, SuspicionCause.ANSWERED)
     }
 
     /** Merges an entry received from another daemon; returns whether it contained anything new. */
     fun merge(other: SuspicionEntry): Boolean {
+        val isNew = add(other)
+        if (isNew) report(other.fingerprint, SuspicionCause.REPORTED)
+        return isNew
+    }
+
+    private fun add(other: SuspicionEntry): Boolean {
         val untilMs = clockMs() + minOf(other.remainingMs, settings.durationMs)
         val entry = unexpired(other.fingerprint)
         if (entry == null) {
@@ -99,6 +112,7 @@
         val entry = entries[fingerprint] ?: return null
         if (entry.untilMs > clockMs()) return entry
         entries.remove(fingerprint)
+        report(fingerprint, SuspicionCause.EXPIRED)
         return null
     }
 
@@ -107,8 +121,12 @@
         if (entries.size < MAX_ENTRIES) return
         val evicted = entries.entries.minWith(compareBy({ it.value.deaths.size }, { it.value.untilMs }))
         entries.remove(evicted.key)
+        report(evicted.key, SuspicionCause.EVICTED)
     }
 
+    private fun report(fingerprint: Fingerprint, cause: SuspicionCause) =
+        onChange(SuspicionChange(fingerprint, cause, entries[fingerprint]?.deaths.orEmpty()))
+
     private fun toSuspicionEntry(fingerprint: Fingerprint, entry: Entry) =
         SuspicionEntry(fingerprint, entry.deaths, entry.untilMs - clockMs(), entry.lone)
 
--- a/endivestep/src/test/kotlin/org/endivestep/fakes/EgressFixture.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/fakes/EgressFixture.kt
@@ -52,7 +52,7 @@
     @Volatile
     var workerListens = true
 
-    val quarantine = quarantine ?: Quarantine(sampleDocument().quarantine, ::nowMs)
+    val quarantine = quarantine ?: Quarantine(sampleDocument().quarantine, clockMs = ::nowMs)
     val crashes = CrashDetector(this.quarantine, inFlight, workers, { workerListens }, { admission.refuseUnrunnable() })
     val egress =
         Egress(
