Tell requests apart by all that their worker sees when they are suspected of crashing it

What callers saw: a request that crashes its workers was sent to worker after worker, nine and ten times (BUDGET). Cause: the fingerprint was made of service, method, path and body. The caller's service and the host, by which a worker can tell requests apart, were not in it. An answer to another caller's request with the same path cleared the entry and exempted the path from suspicion for 60 s, at each daemon for itself. A GET without a body has nothing but its path. Evidence: CrashingRequestProcessTest failed before, with 10 deaths in 10 crashes (3 allowed); each death has the log line 'in flight when the worker died, but answered recently'. RequestFingerprintTest and RequestOriginsTest cover the identity and its use. Ruled out for this reproduction: late detection (the evidence of 9 of the 10 deaths was the lost connection, with the request in flight) and lost news (there was none to lose). Change: a fingerprint has two parts, the signature (method, path, body) and the origin (service, host, caller's service, key). Origins are suspected separately. When workers have died of several origins of one signature, one death more than a single origin is allowed, it is refused for every origin that was not answered lately, so a request that comes with changing origins, or whose route is moved to another service, is learned after three deaths. That this is what the users saw is likely and not shown: their record does not tell whether other callers sent that path.

--- a/emulator/src/main/kotlin/org/endivestep/emulator/PlatformWorkerServer.kt
+++ b/emulator/src/main/kotlin/org/endivestep/emulator/PlatformWorkerServer.kt
@@ -13,6 +13,14 @@
     /** Status with which requests are refused instead of run; 0 for none. */
     @Volatile
     var refusalStatus = 0
+
+    /** Path of the requests that end the worker's process; empty for none. */
+    @Volatile
+    var crashPath = ""
+
+    /** Caller service of the requests that end the worker's process; empty for any. */
+    @Volatile
+    var crashCaller = ""
 }
 
 /** Emulated worker of the platform: runs a bounded number of requests concurrently and reports its load. */
@@ -51,6 +59,7 @@
     }
 
     private fun run(request: Request, id: String): Response {
+        if (crashesOn(request)) Runtime.getRuntime().halt(CRASH_EXIT_CODE)
         runs += "$id ${request.method} ${request.uri} caller=${request.header("X-Caller")} body=${request.body.stream.readBytes().size}"
         Thread.sleep(behaviour.workMs)
         return Response(Status.OK)
@@ -59,12 +68,19 @@
             .body("${behaviour.id} ran $id")
     }
 
+    private fun crashesOn(request: Request): Boolean =
+        request.uri.path == behaviour.crashPath && behaviour.crashCaller in setOf("", request.header("X-Caller"))
+
     private fun changeBehaviour(request: Request): Response {
-        if (request.method == Method.POST) request.query("refuses-with")?.toIntOrNull()?.let { behaviour.refusalStatus = it }
+        if (request.method != Method.POST) return Response(Status.OK)
+        request.query("refuses-with")?.toIntOrNull()?.let { behaviour.refusalStatus = it }
+        request.query("crash-path")?.let { behaviour.crashPath = it }
+        request.query("crash-caller")?.let { behaviour.crashCaller = it }
         return Response(Status.OK)
     }
 
     private companion object {
         const val MISDIRECTED_REQUEST = 421
+        const val CRASH_EXIT_CODE = 134
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/identity/Ids.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/identity/Ids.kt
@@ -35,9 +35,18 @@
 @JvmInline
 internal value class AttemptId(val text: String)
 
-/** Digest that is equal for all transmissions of the same request. */
+/** Digest of a request's method, path and body, whoever sent it and whichever service runs it. */
 @JvmInline
-internal value class Fingerprint(val text: String)
+internal value class RequestSignature(val text: String)
+
+/**
+ * Digest that is equal for all transmissions of the same request: its [signature], and after a dot a digest of its origin,
+ * which is what else a worker can tell requests apart by.
+ */
+@JvmInline
+internal value class Fingerprint(val text: String) {
+    val signature: RequestSignature get() = RequestSignature(text.substringBefore('.'))
+}
 
 /** Version of the configuration document, incremented by each accepted change. 0 means no document. */
 @JvmInline
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/IncomingCall.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/IncomingCall.kt
@@ -12,7 +12,6 @@
 import org.endivestep.identity.Fingerprint
 import org.endivestep.identity.RequestId
 import org.endivestep.identity.ServiceName
-import org.endivestep.identity.toHexadecimal
 import org.endivestep.outcome.HeaderField
 import org.endivestep.outcome.NotRunReason
 import org.endivestep.outcome.OutcomeHeaders
@@ -21,7 +20,6 @@
 import java.io.FilterInputStream
 import java.io.InputStream
 import java.io.SequenceInputStream
-import java.security.MessageDigest
 
 private const val MAX_KEY_LENGTH = 256
 private const val MAX_DEADLINE_MS = 86_400_000L
@@ -119,20 +117,11 @@
     return RequestBody.Streamed(ReadTrackingStream(SequenceInputStream(ByteArrayInputStream(start), stream)), length)
 }
 
-// A streamed body contributes only its length, so that it need not be read to compute the fingerprint.
 private fun fingerprint(service: String, request: Request, key: String?, body: RequestBody): Fingerprint {
-    val digest = MessageDigest.getInstance("SHA-256")
-    digest.update("$service\n${request.method}\n${request.uri}\n${key.orEmpty()}\n".toByteArray())
-    when (body) {
-        is RequestBody.Inline -> digest.update(body.bytes)
-        is RequestBody.Streamed -> digest.update("${body.length}".toByteArray())
-    }
-    val bytes = digest.digest()
-    return Fingerprint(bytes.copyOf(FINGERPRINT_BYTES).toHexadecimal())
+    val origin = RequestOrigin(service, request.header("Host").orEmpty().lowercase(), callerService = "", key.orEmpty())
+    return requestFingerprint(request.method.name, request.uri.toString(), body, origin)
 }
 
-private const val FINGERPRINT_BYTES = 16
-
 /** Tracks whether a read was attempted; after that the body cannot be sent again from its beginning. */
 internal class ReadTrackingStream(stream: InputStream) : FilterInputStream(stream) {
     @Volatile
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
@@ -6,7 +6,6 @@
 import org.endivestep.document.Service
 import org.endivestep.exchange.Deadline
 import org.endivestep.exchange.MessageHeaders
-import org.endivestep.exchange.RequestBody
 import org.endivestep.exchange.RequestRank
 import org.endivestep.exchange.forwarded
 import org.endivestep.exchange.monotonicMs
@@ -15,7 +14,6 @@
 import org.endivestep.identity.RequestId
 import org.endivestep.identity.ServiceName
 import org.endivestep.identity.randomId
-import org.endivestep.identity.toHexadecimal
 import org.endivestep.metrics.FinalOutcome
 import org.endivestep.metrics.OutcomeCounters
 import org.endivestep.metrics.OutcomeLabel
@@ -25,7 +23,6 @@
 import org.endivestep.outcome.UnknownReason
 import org.endivestep.outcome.status
 import java.math.BigDecimal
-import java.security.MessageDigest
 import java.util.concurrent.atomic.AtomicInteger
 
 /** Returns the delay in ms after which a caller should retry a refused request. */
@@ -161,15 +158,10 @@
     private fun echoedHeaders(request: CallerRequest): List<HeaderField> =
         listOfNotNull(request.header(headers.requestId)?.let { HeaderField(headers.requestId, it) })
 
-    // A repeated request has the same service, method, target and body, but another id.
+    // A repeated request has another id; everything else that the worker sees is the same.
     private fun fingerprint(request: CallerRequest, service: Service): Fingerprint {
-        val digest = MessageDigest.getInstance("MD5")
-        digest.update("${service.name.text}\n${request.method}\n${request.target}\n".toByteArray())
-        when (val body = request.body) {
-            is RequestBody.Inline -> digest.update(body.bytes)
-            is RequestBody.Streamed -> digest.update("${body.length}".toByteArray())
-        }
-        return Fingerprint(digest.digest().toHexadecimal())
+        val origin = RequestOrigin(service.name.text, host(request), callerService.text, idempotencyKey = "")
+        return requestFingerprint(request.method, request.target, request.body, origin)
     }
 
     private companion object {
--- a/endivestep/src/main/kotlin/org/endivestep/quarantine/Quarantine.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/quarantine/Quarantine.kt
@@ -32,7 +32,8 @@
  * A request in flight when a worker dies is a suspect, unless the same request was answered within the
  * last [ANSWERED_RETENTION_MS]: one that crashes its workers is never answered. A suspect that is
  * answered is cleared. A request that was in flight at [QuarantineSettings.deaths] worker deaths is
- * refused until the entry expires.
+ * refused until the entry expires. Requests that differ only in their origin are suspected separately,
+ * until workers have died of several of them.
  *
  * A pure state machine: times are in ms; [onChange] is told of each change of an entry. Not thread-safe.
  */
@@ -41,21 +42,22 @@
     private val onChange: (SuspicionChange) -> Unit = { },
     private val clockMs: () -> Long,
 ) {
-    private class Entry(var deaths: Set<WorkerIncarnation>, var untilMs: Long, var lone: Boolean)
-
-    private val entries = HashMap<Fingerprint, Entry>()
+    private val entries: SuspicionTable = SuspicionTable(MAX_ENTRIES, clockMs) { fingerprint, cause -> report(fingerprint, cause) }
     private val answeredMs = LinkedHashMap<Fingerprint, Long>()
 
-    val quarantinedCount: Int get() = entries.values.count { it.deaths.size >= settings.deaths && it.untilMs > clockMs() }
+    val quarantinedCount: Int get() = entries.fingerprints().count { suspicionLevel(it) == SuspicionLevel.QUARANTINED }
 
     fun configure(settings: QuarantineSettings) {
         this.settings = settings
     }
 
     fun suspicionLevel(fingerprint: Fingerprint): SuspicionLevel {
-        val entry = unexpired(fingerprint) ?: return SuspicionLevel.CLEAR
+        if (entries.isEmpty) return SuspicionLevel.CLEAR
+        val entry = entries[fingerprint]
         return when {
-            entry.deaths.size >= settings.deaths -> SuspicionLevel.QUARANTINED
+            entry != null && entry.deaths.size >= settings.deaths -> SuspicionLevel.QUARANTINED
+            crashesWhateverItsOrigin(fingerprint) -> SuspicionLevel.QUARANTINED
+            entry == null -> SuspicionLevel.CLEAR
             entry.lone -> SuspicionLevel.LONE_SUSPECT
             else -> SuspicionLevel.SUSPECT
         }
@@ -68,7 +70,7 @@
         return suspects.map { fingerprint ->
             add(SuspicionEntry(fingerprint, setOf(worker), settings.durationMs, lone = suspects.size == 1))
             report(fingerprint, SuspicionCause.IN_FLIGHT_AT_DEATH)
-            toSuspicionEntry(fingerprint, entries.getValue(fingerprint))
+            toSuspicionEntry(fingerprint, checkNotNull(entries[fingerprint]))
         }
     }
 
@@ -78,7 +80,7 @@
         answeredMs[fingerprint] = clockMs()
         if (answeredMs.size > MAX_ENTRIES) answeredMs.remove(answeredMs.keys.first())
         if (suspicionLevel(fingerprint) == SuspicionLevel.QUARANTINED) return
-        if (entries.remove(fingerprint) != null) report(fingerprint, SuspicionCause.ANSWERED)
+        if (entries.remove(fingerprint)) report(fingerprint, SuspicionCause.ANSWERED)
     }
 
     /** Merges an entry received from another daemon; returns whether it contained anything new. */
@@ -90,17 +92,14 @@
 
     private fun add(other: SuspicionEntry): Boolean {
         val untilMs = clockMs() + minOf(other.remainingMs, settings.durationMs)
-        val entry = unexpired(other.fingerprint)
-        if (entry == null) {
-            evictIfFull()
-            entries[other.fingerprint] = Entry(other.deaths, untilMs, other.lone)
-            return true
-        }
-        if (entry.deaths.containsAll(other.deaths)) return false
-        entry.deaths = entry.deaths + other.deaths
-        entry.untilMs = maxOf(entry.untilMs, untilMs)
-        entry.lone = entry.lone || other.lone
-        return true
+        return entries.merge(other.fingerprint, SuspicionTable.Entry(other.deaths, untilMs, other.lone))
+    }
+
+    // Deaths of several origins, one more than a single one is allowed, show that the origin makes no difference.
+    private fun crashesWhateverItsOrigin(fingerprint: Fingerprint): Boolean {
+        val origins = entries.withSignature(fingerprint.signature)
+        if (origins.size < 2 || answeredRecently(fingerprint)) return false
+        return origins.flatMapTo(HashSet()) { it.deaths }.size > settings.deaths
     }
 
     private fun answeredRecently(fingerprint: Fingerprint): Boolean {
@@ -108,26 +107,11 @@
         return clockMs() - atMs < ANSWERED_RETENTION_MS
     }
 
-    private fun unexpired(fingerprint: Fingerprint): Entry? {
-        val entry = entries[fingerprint] ?: return null
-        if (entry.untilMs > clockMs()) return entry
-        entries.remove(fingerprint)
-        report(fingerprint, SuspicionCause.EXPIRED)
-        return null
-    }
-
-    // Evicts the entry with the fewest deaths, so suspects before quarantined requests; ties go to the earliest expiry.
-    private fun evictIfFull() {
-        if (entries.size < MAX_ENTRIES) return
-        val evicted = entries.entries.minWith(compareBy({ it.value.deaths.size }, { it.value.untilMs }))
-        entries.remove(evicted.key)
-        report(evicted.key, SuspicionCause.EVICTED)
-    }
-
-    private fun report(fingerprint: Fingerprint, cause: SuspicionCause) =
+    private fun report(fingerprint: Fingerprint, cause: SuspicionCause) {
         onChange(SuspicionChange(fingerprint, cause, entries[fingerprint]?.deaths.orEmpty()))
+    }
 
-    private fun toSuspicionEntry(fingerprint: Fingerprint, entry: Entry) =
+    private fun toSuspicionEntry(fingerprint: Fingerprint, entry: SuspicionTable.Entry) =
         SuspicionEntry(fingerprint, entry.deaths, entry.untilMs - clockMs(), entry.lone)
 
     private companion object {
