Exempt a recently answered request from one death, and never when it was alone

Cause: an answer exempted a request from suspicion for 60 s at its daemon, whatever happened since, even if it was the only request in flight at each death. A request that begins to crash its workers, after a release for one, was so never suspected. Change: an answer exempts from one death, and only beside other requests that may have caused it. A second death without an answer in between counts, with the first. Beside a request that is already known to crash its workers, the exemption holds as before, so that harmless requests with much traffic aren't refused for it.

--- a/endivestep/src/main/kotlin/org/endivestep/quarantine/Quarantine.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/quarantine/Quarantine.kt
@@ -29,11 +29,11 @@
 /**
  * Detects requests that crash every worker that runs them.
  *
- * A request in flight when a worker dies is a suspect, unless the same request was answered within the
- * last [ANSWERED_RETENTION_MS]: one that crashes its workers is never answered. A suspect that is
- * answered is cleared. A request that was in flight at [QuarantineSettings.deaths] worker deaths is
- * refused until the entry expires. Requests that differ only in their origin are suspected separately,
- * until workers have died of several of them.
+ * A request in flight when a worker dies is a suspect. If it was answered within the last [ANSWERED_RETENTION_MS],
+ * it is suspected only when the other requests in flight do not explain the death: when there were none, or when it
+ * dies a second time without an answer in between. A suspect that is answered is cleared. A request that was in
+ * flight at [QuarantineSettings.deaths] worker deaths is refused until the entry expires. Requests that differ only
+ * in their origin are suspected separately, until workers have died of several of them.
  *
  * A pure state machine: times are in ms; [onChange] is told of each change of an entry. Not thread-safe.
  */
@@ -45,6 +45,9 @@
     private val entries: SuspicionTable = SuspicionTable(MAX_ENTRIES, clockMs) { fingerprint, cause -> report(fingerprint, cause) }
     private val answeredMs = LinkedHashMap<Fingerprint, Long>()
 
+    // Deaths since the last answer at which a recently answered request was in flight and not suspected.
+    private val exemptDeaths = HashMap<Fingerprint, Set<WorkerIncarnation>>()
+
     val quarantinedCount: Int get() = entries.fingerprints().count { suspicionLevel(it) == SuspicionLevel.QUARANTINED }
 
     fun configure(settings: QuarantineSettings) {
@@ -65,20 +68,35 @@
 
     /** Records that [worker] died with [inFlight] in flight; returns the entries to send to other daemons. */
     fun workerDied(worker: WorkerIncarnation, inFlight: Collection<Fingerprint>): List<SuspicionEntry> {
-        val (exempt, suspects) = inFlight.toSet().partition(::answeredRecently)
-        exempt.forEach { report(it, SuspicionCause.ANSWERED_RECENTLY) }
-        return suspects.map { fingerprint ->
-            add(SuspicionEntry(fingerprint, setOf(worker), settings.durationMs, lone = suspects.size == 1))
-            report(fingerprint, SuspicionCause.IN_FLIGHT_AT_DEATH)
-            toSuspicionEntry(fingerprint, checkNotNull(entries[fingerprint]))
-        }
+        val (answered, others) = inFlight.toSet().partition(::answeredRecently)
+        // If all of them were answered recently, one of them crashed the worker all the same.
+        val suspects = others.ifEmpty { answered }
+        suspects.forEach { suspect(it, setOf(worker), lone = suspects.size == 1) }
+        val unexplained = others.isNotEmpty() && suspects.none { suspicionLevel(it) == SuspicionLevel.QUARANTINED }
+        val repeated = if (unexplained) answered.filter { !exempt(it, worker) } else emptyList()
+        repeated.forEach { suspect(it, exemptDeaths.remove(it).orEmpty() + worker, lone = false) }
+        return (suspects + repeated).map { toSuspicionEntry(it, checkNotNull(entries[it])) }
+    }
+
+    private fun suspect(fingerprint: Fingerprint, deaths: Set<WorkerIncarnation>, lone: Boolean) {
+        add(SuspicionEntry(fingerprint, deaths, settings.durationMs, lone))
+        report(fingerprint, SuspicionCause.IN_FLIGHT_AT_DEATH)
+    }
+
+    // An answer exempts a request from one death only; returns false if it was exempted from another since its last answer.
+    private fun exempt(fingerprint: Fingerprint, worker: WorkerIncarnation): Boolean {
+        if (exemptDeaths[fingerprint].orEmpty().any { it != worker }) return false
+        exemptDeaths[fingerprint] = setOf(worker)
+        report(fingerprint, SuspicionCause.ANSWERED_RECENTLY)
+        return true
     }
 
     /** Records that a worker answered a request, which clears it as a suspect unless it is quarantined. */
     fun answered(fingerprint: Fingerprint) {
         answeredMs.remove(fingerprint)
+        exemptDeaths.remove(fingerprint)
         answeredMs[fingerprint] = clockMs()
-        if (answeredMs.size > MAX_ENTRIES) answeredMs.remove(answeredMs.keys.first())
+        if (answeredMs.size > MAX_ENTRIES) forgetAnswer(answeredMs.keys.first())
         if (suspicionLevel(fingerprint) == SuspicionLevel.QUARANTINED) return
         if (entries.remove(fingerprint)) report(fingerprint, SuspicionCause.ANSWERED)
     }
@@ -107,6 +125,11 @@
         return clockMs() - atMs < ANSWERED_RETENTION_MS
     }
 
+    private fun forgetAnswer(fingerprint: Fingerprint) {
+        answeredMs.remove(fingerprint)
+        exemptDeaths.remove(fingerprint)
+    }
+
     private fun report(fingerprint: Fingerprint, cause: SuspicionCause) {
         onChange(SuspicionChange(fingerprint, cause, entries[fingerprint]?.deaths.orEmpty()))
     }
