Count deaths by run of a worker, not by the id that it may keep

Cause: quarantine, the news of suspicions and the registry of the local worker took a worker's id for the identity of a run. A second death under the same id was no news, so the count stayed at one of the two that quarantine needs. A late failure of an earlier run's request could mark the later run as dead as well. Change: WorkerRunId, made of the id and the start, in entries, news and registry. Same class elsewhere: HeartbeatFilter and the registry's announcements already compared starts; fences and claims are keyed by attempt and by daemon run; connections are opened to addresses with the expected id in each request. Read, not found.

--- a/endivestep/src/main/kotlin/org/endivestep/daemon/WorkerSupervisor.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/WorkerSupervisor.kt
@@ -89,7 +89,7 @@
 
     /** Marks [worker] as dead because nothing listens at its address, and notifies peers. */
     fun workerNotListening(worker: LocalWorker) {
-        if (workers.markDead(worker.announcement.incarnation) == null) return
+        if (workers.markDead(worker) == null) return
         logger.warn { "the worker ${worker.announcement.incarnation.text} does not listen any more" }
         workerDied(emptyList())
     }
--- a/endivestep/src/main/kotlin/org/endivestep/egress/CrashDetector.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/CrashDetector.kt
@@ -53,17 +53,17 @@
     fun merge(entries: List<SuspicionEntry>) = synchronized(quarantine) { entries.forEach(quarantine::merge) }
 
     private fun onWorkerUnreachable(worker: LocalWorker) {
-        if (workers.markDead(worker.announcement.incarnation) != null) recordDeath(worker, DeathEvidence.NOT_LISTENING)
+        if (workers.markDead(worker) != null) recordDeath(worker, DeathEvidence.NOT_LISTENING)
     }
 
     private fun recordDeath(worker: LocalWorker, evidence: DeathEvidence) {
         val fingerprints = inFlight.takeAtDeath()
-        val entries = synchronized(quarantine) { quarantine.workerDied(worker.announcement.incarnation, fingerprints) }
+        val entries = synchronized(quarantine) { quarantine.workerDied(worker.announcement.run, fingerprints) }
         logger.atWarn {
             message = "the worker died"
             payload =
                 mapOf(
-                    "worker" to worker.announcement.incarnation.text,
+                    "worker" to worker.announcement.run.text,
                     "evidence" to evidence.text,
                     "inFlight" to fingerprints.map { it.text },
                     "suspects" to entries.map { it.fingerprint.text },
--- a/endivestep/src/main/kotlin/org/endivestep/egress/WorkerRegistry.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/WorkerRegistry.kt
@@ -2,6 +2,8 @@
 
 import org.endivestep.identity.ServiceName
 import org.endivestep.identity.WorkerIncarnation
+import org.endivestep.identity.WorkerRunId
+import org.endivestep.identity.workerRunId
 import org.endivestep.settings.Address
 
 /** Data that a worker sends to register with its daemon. */
@@ -11,7 +13,16 @@
     val incarnation: WorkerIncarnation,
     val leaving: Boolean,
     val capacity: WorkerCapacity? = null,
-)
+) {
+    val run: WorkerRunId get() = workerRunId(incarnation, startedMs)
+
+    /** Start of the worker in ms by its clock, [UNKNOWN_START_MS] if it has not reported one. */
+    val startedMs: Long get() = capacity?.startedMs ?: UNKNOWN_START_MS
+
+    /** Whether [other] comes from the same run. A restarted worker may reuse its previous incarnation. */
+    fun isSameRunAs(other: Announcement): Boolean =
+        incarnation == other.incarnation && (startedMs == other.startedMs || UNKNOWN_START_MS in setOf(startedMs, other.startedMs))
+}
 
 /** Start time of a worker that has not reported one. */
 internal const val UNKNOWN_START_MS = 0L
@@ -47,7 +58,7 @@
     fun announce(announcement: Announcement): AnnouncementEffect {
         val before = worker
         val phase = if (announcement.leaving) WorkerPhase.LEAVING else WorkerPhase.SERVING
-        val same = before != null && isSameRun(before.announcement, announcement)
+        val same = before != null && before.announcement.isSameRunAs(announcement)
         // A worker that has announced that it is leaving never serves again in the same run.
         if (same && before?.phase == WorkerPhase.LEAVING) return AnnouncementEffect.Unchanged
         if (same && before?.phase == phase && before.announcement == announcement) return AnnouncementEffect.Unchanged
@@ -60,17 +71,11 @@
         }
     }
 
-    // A restarted worker may reuse its previous incarnation.
-    private fun isSameRun(before: Announcement, after: Announcement): Boolean {
-        val startedMs = listOf(before, after).map { it.capacity?.startedMs ?: UNKNOWN_START_MS }
-        return before.incarnation == after.incarnation && (startedMs[0] == startedMs[1] || UNKNOWN_START_MS in startedMs)
-    }
-
-    /** Records that [incarnation] died; returns the worker as it was before, or null if it was unknown or already recorded as dead. */
+    /** Records that the run [died]; returns the worker as it was before, or null if another run has started or the death is known. */
     @Synchronized
-    fun markDead(incarnation: WorkerIncarnation): LocalWorker? {
+    fun markDead(died: LocalWorker): LocalWorker? {
         val before = worker ?: return null
-        if (before.announcement.incarnation != incarnation || before.phase == WorkerPhase.DIED) return null
+        if (!before.announcement.isSameRunAs(died.announcement) || before.phase == WorkerPhase.DIED) return null
         worker = before.copy(phase = WorkerPhase.DIED)
         return before
     }
--- a/endivestep/src/main/kotlin/org/endivestep/identity/Ids.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/identity/Ids.kt
@@ -23,10 +23,16 @@
 @JvmInline
 internal value class DaemonIncarnation(val text: String)
 
-/** Identity of one run of a worker process, as the worker announced it. */
+/** Name of a run of a worker process, as the worker announced it. A later run may have the same name; see [WorkerRunId]. */
 @JvmInline
 internal value class WorkerIncarnation(val text: String)
 
+/** Identity of one run of a worker process: its announced name and its start in ms by the worker's clock, 0 if unknown. */
+@JvmInline
+internal value class WorkerRunId(val text: String)
+
+internal fun workerRunId(incarnation: WorkerIncarnation, startedMs: Long): WorkerRunId = WorkerRunId("${incarnation.text}@$startedMs")
+
 /** Identity of a caller's request; every attempt of the request carries it. */
 @JvmInline
 internal value class RequestId(val text: String)
--- a/endivestep/src/main/kotlin/org/endivestep/membership/SuspicionDissemination.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/membership/SuspicionDissemination.kt
@@ -1,7 +1,7 @@
 package org.endivestep.membership
 
 import org.endivestep.identity.Fingerprint
-import org.endivestep.identity.WorkerIncarnation
+import org.endivestep.identity.WorkerRunId
 import org.endivestep.quarantine.SuspicionEntry
 
 /** Entries of suspected requests that are still to be disseminated. Not thread-safe. */
@@ -9,7 +9,7 @@
     private class Item(val entry: SuspicionEntry, var remainingSends: Int)
 
     private val items = ArrayDeque<Item>()
-    private val seen = LinkedHashMap<Fingerprint, Set<WorkerIncarnation>>()
+    private val seen = LinkedHashMap<Fingerprint, Set<WorkerRunId>>()
 
     fun add(entries: List<SuspicionEntry>) {
         addNew(entries)
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/GossipCodec.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/GossipCodec.kt
@@ -10,6 +10,7 @@
 import org.endivestep.identity.ServiceName
 import org.endivestep.identity.VmName
 import org.endivestep.identity.WorkerIncarnation
+import org.endivestep.identity.WorkerRunId
 import org.endivestep.membership.GossipMessage
 import org.endivestep.membership.GossipType
 import org.endivestep.membership.MemberInfo
@@ -148,4 +149,4 @@
         .build()
 
 private fun Suspicion.toEntry() =
-    SuspicionEntry(Fingerprint(fingerprint), deathsList.map(::WorkerIncarnation).toSet(), remainingMs, lone)
+    SuspicionEntry(Fingerprint(fingerprint), deathsList.map(::WorkerRunId).toSet(), remainingMs, lone)
--- a/endivestep/src/main/kotlin/org/endivestep/quarantine/Quarantine.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/quarantine/Quarantine.kt
@@ -2,7 +2,7 @@
 
 import org.endivestep.document.QuarantineSettings
 import org.endivestep.identity.Fingerprint
-import org.endivestep.identity.WorkerIncarnation
+import org.endivestep.identity.WorkerRunId
 
 /** How strongly a request is suspected of crashing workers. */
 internal enum class SuspicionLevel {
@@ -21,7 +21,7 @@
 /** Entry that daemons exchange about one request: the workers that died while it was in flight. */
 internal data class SuspicionEntry(
     val fingerprint: Fingerprint,
-    val deaths: Set<WorkerIncarnation>,
+    val deaths: Set<WorkerRunId>,
     val remainingMs: Long,
     val lone: Boolean,
 )
@@ -46,7 +46,7 @@
     private val answeredMs = LinkedHashMap<Fingerprint, Long>()
 
     // Deaths since the last answer at which a recently answered request was in flight and not suspected.
-    private val exemptDeaths = HashMap<Fingerprint, Set<WorkerIncarnation>>()
+    private val exemptDeaths = HashMap<Fingerprint, Set<WorkerRunId>>()
 
     val quarantinedCount: Int get() = entries.fingerprints().count { suspicionLevel(it) == SuspicionLevel.QUARANTINED }
 
@@ -67,7 +67,7 @@
     }
 
     /** Records that [worker] died with [inFlight] in flight; returns the entries to send to other daemons. */
-    fun workerDied(worker: WorkerIncarnation, inFlight: Collection<Fingerprint>): List<SuspicionEntry> {
+    fun workerDied(worker: WorkerRunId, inFlight: Collection<Fingerprint>): List<SuspicionEntry> {
         val (answered, others) = inFlight.toSet().partition(::answeredRecently)
         // If all of them were answered recently, one of them crashed the worker all the same.
         val suspects = others.ifEmpty { answered }
@@ -78,13 +78,13 @@
         return (suspects + repeated).map { toSuspicionEntry(it, checkNotNull(entries[it])) }
     }
 
-    private fun suspect(fingerprint: Fingerprint, deaths: Set<WorkerIncarnation>, lone: Boolean) {
+    private fun suspect(fingerprint: Fingerprint, deaths: Set<WorkerRunId>, lone: Boolean) {
         add(SuspicionEntry(fingerprint, deaths, settings.durationMs, lone))
         report(fingerprint, SuspicionCause.IN_FLIGHT_AT_DEATH)
     }
 
     // An answer exempts a request from one death only; returns false if it was exempted from another since its last answer.
-    private fun exempt(fingerprint: Fingerprint, worker: WorkerIncarnation): Boolean {
+    private fun exempt(fingerprint: Fingerprint, worker: WorkerRunId): Boolean {
         if (exemptDeaths[fingerprint].orEmpty().any { it != worker }) return false
         exemptDeaths[fingerprint] = setOf(worker)
         report(fingerprint, SuspicionCause.ANSWERED_RECENTLY)
--- a/endivestep/src/main/kotlin/org/endivestep/quarantine/SuspicionChange.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/quarantine/SuspicionChange.kt
@@ -1,7 +1,7 @@
 package org.endivestep.quarantine
 
 import org.endivestep.identity.Fingerprint
-import org.endivestep.identity.WorkerIncarnation
+import org.endivestep.identity.WorkerRunId
 
 /** What changed the suspicion of a request, or kept it from being suspected. */
 internal enum class SuspicionCause(val text: String) {
@@ -14,4 +14,4 @@
 }
 
 /** A change of the entry of [fingerprint], which has counted [deaths] after it. */
-internal class SuspicionChange(val fingerprint: Fingerprint, val cause: SuspicionCause, val deaths: Set<WorkerIncarnation>)
+internal class SuspicionChange(val fingerprint: Fingerprint, val cause: SuspicionCause, val deaths: Set<WorkerRunId>)
--- a/endivestep/src/main/kotlin/org/endivestep/quarantine/SuspicionTable.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/quarantine/SuspicionTable.kt
@@ -2,7 +2,7 @@
 
 import org.endivestep.identity.Fingerprint
 import org.endivestep.identity.RequestSignature
-import org.endivestep.identity.WorkerIncarnation
+import org.endivestep.identity.WorkerRunId
 
 /**
  * Entries of suspected requests, at most [maxEntries], each until it expires. Times are in ms; [onRemoved] is told of
@@ -14,7 +14,7 @@
     private val onRemoved: (Fingerprint, SuspicionCause) -> Unit,
 ) {
     /** Deaths counted against a request until [untilMs]; [lone] if no other request was suspected of one of them. */
-    class Entry(val deaths: Set<WorkerIncarnation>, val untilMs: Long, val lone: Boolean)
+    class Entry(val deaths: Set<WorkerRunId>, val untilMs: Long, val lone: Boolean)
 
     private val entries = HashMap<Fingerprint, Entry>()
     private val origins = HashMap<RequestSignature, MutableSet<Fingerprint>>()
--- a/endivestep/src/test/kotlin/org/endivestep/egress/DeadWorkerQueueTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/egress/DeadWorkerQueueTest.kt
@@ -8,7 +8,7 @@
 import org.endivestep.fakes.awaitWaiting
 import org.endivestep.fakes.sampleAttempt
 import org.endivestep.identity.Fingerprint
-import org.endivestep.identity.WorkerIncarnation
+import org.endivestep.identity.WorkerRunId
 import org.endivestep.outcome.AttemptResult
 import org.endivestep.outcome.NotRunReason
 import org.endivestep.quarantine.SuspicionEntry
@@ -34,7 +34,7 @@
                 Case("a slot, while others stay taken", slots = 2, runningAfterDeath = 1),
                 Case("the rate of a cold worker", slots = 20, runningAfterDeath = 0) { admission.coldFor(COLD_MS, 1.0) },
                 Case("running alone", slots = 20, runningAfterDeath = 1) {
-                    crashes.merge(listOf(SuspicionEntry(waitingKind, setOf(WorkerIncarnation("earlier")), COLD_MS, lone = true)))
+                    crashes.merge(listOf(SuspicionEntry(waitingKind, setOf(WorkerRunId("earlier")), COLD_MS, lone = true)))
                 },
             ).forEach { case ->
                 val mayFail = CountDownLatch(1)
--- a/endivestep/src/test/kotlin/org/endivestep/egress/WaitingSuspectsTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/egress/WaitingSuspectsTest.kt
@@ -13,7 +13,7 @@
 import org.endivestep.fakes.awaitWaiting
 import org.endivestep.fakes.sampleAttempt
 import org.endivestep.identity.Fingerprint
-import org.endivestep.identity.WorkerIncarnation
+import org.endivestep.identity.WorkerRunId
 import org.endivestep.outcome.AttemptResult
 import org.endivestep.quarantine.SuspicionEntry
 import java.util.concurrent.Callable
@@ -30,7 +30,7 @@
 private val copied = Fingerprint("copied")
 
 private fun EgressFixture.suspect(worker: String) =
-    crashes.merge(listOf(SuspicionEntry(copied, setOf(WorkerIncarnation(worker)), SUSPECT_FOR_MS, lone = true)))
+    crashes.merge(listOf(SuspicionEntry(copied, setOf(WorkerRunId(worker)), SUSPECT_FOR_MS, lone = true)))
 
 private fun EgressFixture.clear() = synchronized(quarantine) { quarantine.answered(copied) }
 
--- a/endivestep/src/test/kotlin/org/endivestep/matrix/RequestCells.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/matrix/RequestCells.kt
@@ -100,7 +100,7 @@
     StepCells().apply {
         request(Fault.WORKER_COLD, CallerOutcome.ANSWERED) { repeat(2) { near.admission.admit(AdmissionRequest(0)) } }
         request(Fault.WORKER_CRASH, CallerOutcome.ANSWERED) {
-            near.workers.markDead(checkNotNull(near.workers.worker).announcement.incarnation)
+            near.workers.markDead(checkNotNull(near.workers.worker))
         }
         request(Fault.DRAIN, CallerOutcome.ANSWERED) { near.document = sampleDocument().withDataCentreOut("haarlem") }
         request(Fault.KILL, CallerOutcome.ANSWERED) { near.egress.stop() }
--- a/endivestep/src/test/kotlin/org/endivestep/quarantine/AnsweredSuspectsTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/quarantine/AnsweredSuspectsTest.kt
@@ -5,13 +5,13 @@
 import io.kotest.matchers.shouldBe
 import org.endivestep.document.QuarantineSettings
 import org.endivestep.identity.Fingerprint
-import org.endivestep.identity.WorkerIncarnation
+import org.endivestep.identity.WorkerRunId
 
 private const val DURATION_MS = 60_000L
 private val request = Fingerprint("request")
 
 private fun Quarantine.died(run: Int, vararg beside: String) =
-    workerDied(WorkerIncarnation("run-$run"), listOf(request) + beside.map(::Fingerprint))
+    workerDied(WorkerRunId("run-$run"), listOf(request) + beside.map(::Fingerprint))
 
 class AnsweredSuspectsTest :
     FunSpec({
--- a/endivestep/src/test/kotlin/org/endivestep/quarantine/QuarantineTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/quarantine/QuarantineTest.kt
@@ -4,13 +4,13 @@
 import io.kotest.matchers.shouldBe
 import org.endivestep.document.QuarantineSettings
 import org.endivestep.identity.Fingerprint
-import org.endivestep.identity.WorkerIncarnation
+import org.endivestep.identity.WorkerRunId
 
 private val settings = QuarantineSettings(deaths = 2, durationMs = 1_000)
 private val crashing = Fingerprint("crashing")
 private val innocent = Fingerprint("innocent")
 
-private fun incarnation(name: String) = WorkerIncarnation(name)
+private fun incarnation(name: String) = WorkerRunId(name)
 
 class QuarantineTest :
     FunSpec({
--- a/endivestep/src/test/kotlin/org/endivestep/quarantine/RequestOriginsTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/quarantine/RequestOriginsTest.kt
@@ -5,13 +5,13 @@
 import io.kotest.matchers.shouldBe
 import org.endivestep.document.QuarantineSettings
 import org.endivestep.identity.Fingerprint
-import org.endivestep.identity.WorkerIncarnation
+import org.endivestep.identity.WorkerRunId
 
 private const val DURATION_MS = 1_000L
 
 private fun from(origin: String) = Fingerprint("request.$origin")
 
-private fun Quarantine.died(run: String, vararg origins: String) = workerDied(WorkerIncarnation(run), origins.map(::from))
+private fun Quarantine.died(run: String, vararg origins: String) = workerDied(WorkerRunId(run), origins.map(::from))
 
 class RequestOriginsTest :
     FunSpec({
--- a/endivestep/src/test/kotlin/org/endivestep/quarantine/SuspicionChangesTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/quarantine/SuspicionChangesTest.kt
@@ -5,13 +5,13 @@
 import io.kotest.matchers.shouldBe
 import org.endivestep.document.QuarantineSettings
 import org.endivestep.identity.Fingerprint
-import org.endivestep.identity.WorkerIncarnation
+import org.endivestep.identity.WorkerRunId
 
 private const val DURATION_MS = 1_000L
 private val request = Fingerprint("request")
 private val other = Fingerprint("other")
 
-private fun run(name: String) = WorkerIncarnation(name)
+private fun run(name: String) = WorkerRunId(name)
 
 class SuspicionChangesTest :
     FunSpec({
