Suspect the requests whose connection was lost until the worker is seen alive

Cause: a lost request counted as in flight for 2 s. A crashed worker is away for 3.3 s, so where its listener outlived its connections, or no other request came, the death was recorded with no suspect. A request that could not be sent at all, because nothing listened any more, was taken for one of the suspects, and for the only one; and a death that a health check found had no suspects at all. Requests that were not sent don't count. All ways to find a death end in one place, CrashDetector.workerNotListening, which names the suspects.

--- a/endivestep/src/main/kotlin/org/endivestep/daemon/Daemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/Daemon.kt
@@ -27,6 +27,7 @@
 import org.endivestep.egress.CrashDetector
 import org.endivestep.egress.Egress
 import org.endivestep.egress.InFlightRequests
+import org.endivestep.egress.LOST_REQUEST_RETENTION_MS
 import org.endivestep.egress.WorkerRegistry
 import org.endivestep.egress.jettyWorkerCall
 import org.endivestep.egress.listensAt
@@ -76,7 +77,6 @@
 
 private val logger = KotlinLogging.logger {}
 
-private const val LOST_REQUEST_RETENTION_MS = 2_000L
 private const val WATCHERS_PER_DATA_CENTRE = 2
 private const val WORKER_CONNECTIONS = 200
 private const val FENCE_RETENTION_MARGIN_MS = 60_000L
@@ -119,7 +119,7 @@
     private val claimTasks = ClaimTaskExecutor(claims) { droppedClaims.incrementAndGet() }
     private val dispatcher = Dispatcher(::routesOf, loads, ::choose, attempt = ::attempt)
     private val ingress = Ingress(::document, dispatcher, claims, claimTasks, counters)
-    private val prober = IdleProber(egress, { workers.worker }, ::document, ::probeOverHttp) { supervisor.workerNotListening(it) }
+    private val prober = IdleProber(egress, { workers.worker }, ::document, ::probeOverHttp) { crashes.workerNotListening(it) }
     private val unauthenticatedCalls = AtomicLong()
     private val admissionNotices = AdmissionNotices(::monotonicMs)
     private val innerServer =
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -18,6 +18,7 @@
 import org.endivestep.egress.CrashDetector
 import org.endivestep.egress.Egress
 import org.endivestep.egress.InFlightRequests
+import org.endivestep.egress.LOST_REQUEST_RETENTION_MS
 import org.endivestep.egress.WorkerRegistry
 import org.endivestep.egress.listensAt
 import org.endivestep.egress.nettyWorkerCall
@@ -80,7 +81,6 @@
 
 private val logger = KotlinLogging.logger {}
 
-private const val LOST_REQUEST_RETENTION_MS = 2_000L
 private const val FENCE_RETENTION_MS = 120_000L
 private const val STORE_TIMEOUT_MS = 1_000L
 private const val CONNECT_TIMEOUT_MS = 500
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/WorkerSupervisor.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/WorkerSupervisor.kt
@@ -87,13 +87,6 @@
         admission.refuseUnrunnable()
     }
 
-    /** Marks [worker] as dead because nothing listens at its address, and notifies peers. */
-    fun workerNotListening(worker: LocalWorker) {
-        if (workers.markDead(worker) == null) return
-        logger.warn { "the worker ${worker.announcement.incarnation.text} does not listen any more" }
-        workerDied(emptyList())
-    }
-
     private companion object {
         const val USABLE_SHARE = 0.8
     }
--- a/endivestep/src/main/kotlin/org/endivestep/egress/AnswerBody.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/AnswerBody.kt
@@ -14,7 +14,13 @@
     ABANDONED,
     ;
 
-    val connectionLost: Boolean get() = this == TRUNCATED
+    /** Returns how the request ended at the worker; [headCompletion] is the completion that follows from the answer head. */
+    fun requestEnd(headCompletion: Completion): RequestEnd =
+        when {
+            this == TRUNCATED -> RequestEnd.CONNECTION_LOST
+            this == COMPLETE && headCompletion is Completion.Answered -> RequestEnd.ANSWERED
+            else -> RequestEnd.OTHER
+        }
 
     /** Returns the completion to report to the admission limit; [headCompletion] is the one that follows from the answer head. */
     fun completion(headCompletion: Completion): Completion =
--- a/endivestep/src/main/kotlin/org/endivestep/egress/CrashDetector.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/CrashDetector.kt
@@ -15,7 +15,7 @@
 
 /** What showed that a worker died. */
 private enum class DeathEvidence(val text: String) {
-    NOT_LISTENING("a connection was lost and nothing listens any more"),
+    NOT_LISTENING("nothing listens at its address any more"),
     OTHER_RUN("another run announced itself"),
 }
 
@@ -40,22 +40,24 @@
 
     fun begin(request: AttemptRequest) = inFlight.begin(request.attemptId, request.fingerprint)
 
-    fun end(request: AttemptRequest, worker: LocalWorker, connectionLost: Boolean, answered: Boolean) {
-        inFlight.end(request.attemptId, connectionLost)
-        if (answered) synchronized(quarantine) { quarantine.answered(request.fingerprint) }
-        if (connectionLost && !isListening(worker.announcement.address)) onWorkerUnreachable(worker)
+    fun end(request: AttemptRequest, worker: LocalWorker, how: RequestEnd) {
+        inFlight.end(request.attemptId, how)
+        if (how == RequestEnd.ANSWERED) synchronized(quarantine) { quarantine.answered(request.fingerprint) }
+        val mayHaveDied = how == RequestEnd.CONNECTION_LOST || how == RequestEnd.NOT_SENT
+        if (mayHaveDied && !isListening(worker.announcement.address)) workerNotListening(worker)
     }
 
     /** Records that another run of the worker started while [died] was considered to be serving. */
     fun workerReplaced(died: LocalWorker) = recordDeath(died, DeathEvidence.OTHER_RUN)
 
-    /** Merges suspicion entries received from other daemons. */
-    fun merge(entries: List<SuspicionEntry>) = synchronized(quarantine) { entries.forEach(quarantine::merge) }
-
-    private fun onWorkerUnreachable(worker: LocalWorker) {
+    /** Records that [worker] died, because nothing listens at its address. */
+    fun workerNotListening(worker: LocalWorker) {
         if (workers.markDead(worker) != null) recordDeath(worker, DeathEvidence.NOT_LISTENING)
     }
 
+    /** Merges suspicion entries received from other daemons. */
+    fun merge(entries: List<SuspicionEntry>) = synchronized(quarantine) { entries.forEach(quarantine::merge) }
+
     private fun recordDeath(worker: LocalWorker, evidence: DeathEvidence) {
         val fingerprints = inFlight.takeAtDeath()
         val entries = synchronized(quarantine) { quarantine.workerDied(worker.announcement.run, fingerprints) }
--- a/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
@@ -130,19 +130,19 @@
         return when (val result = callWorker(run, worker)) {
             is WorkerResult.Answered -> answered(run, service, result)
             is WorkerResult.NotSent -> {
-                run.end(Completion.Failed, connectionLost = true)
+                run.end(Completion.Failed, RequestEnd.NOT_SENT)
                 AttemptResult.NotRun(NotRunReason.WORKER_UNREACHABLE, admission.load)
             }
             WorkerResult.Expired -> {
-                run.end(Completion.Cancelled, connectionLost = false)
+                run.end(Completion.Cancelled)
                 AttemptResult.NotRun(NotRunReason.DEADLINE_PASSED, admission.load)
             }
             WorkerResult.Cancelled -> {
-                run.end(Completion.Cancelled, connectionLost = false)
+                run.end(Completion.Cancelled)
                 AttemptResult.Unknown(UnknownReason.CONNECTION_LOST, admission.load)
             }
             is WorkerResult.Failed -> {
-                run.end(Completion.Failed, connectionLost = !result.timedOut)
+                run.end(Completion.Failed, if (result.timedOut) RequestEnd.OTHER else RequestEnd.CONNECTION_LOST)
                 val reason = if (result.timedOut) UnknownReason.TIMEOUT else UnknownReason.WORKER_FAILED
                 AttemptResult.Unknown(reason, admission.load)
             }
@@ -156,7 +156,7 @@
             logFailure(run, worker, result)
             return result
         } finally {
-            if (result == null) run.end(Completion.Cancelled, connectionLost = false)
+            if (result == null) run.end(Completion.Cancelled)
         }
     }
 
@@ -197,24 +197,24 @@
         val verdict = answerInterpreter.interpret(service, run.request, head)
         if (verdict is AnswerVerdict.Mismatched) {
             result.abort()
-            run.end(Completion.Failed, connectionLost = false)
+            run.end(Completion.Failed)
             return AttemptResult.Unknown(UnknownReason.MISMATCHED_ANSWER, admission.load)
         }
         answerInterpreter.slownessPercent(head)?.let(admission::noteSlowness)
         if (!answerInterpreter.acceptsUndelimitedAnswers && !head.isDelimited(run.request.method)) {
             result.abort()
-            run.end(Completion.Cancelled, connectionLost = false)
+            run.end(Completion.Cancelled)
             return AttemptResult.Unknown(UnknownReason.UNDELIMITED_ANSWER, admission.load)
         }
         if (verdict is AnswerVerdict.NotRun) {
             result.abort()
-            run.end(Completion.Shed, connectionLost = false)
+            run.end(Completion.Shed)
             return AttemptResult.NotRun(verdict.reason, admission.load, verdict.final)
         }
         val latencyMs = run.elapsedMs()
         if (head.status < FIRST_ERROR) processingTimes.observed(run.request.kind, latencyMs)
         val completion = if (head.status >= FIRST_SERVER_ERROR) Completion.Failed else Completion.Answered(latencyMs)
-        val body = AnswerBody(result.body, result.abort) { ending -> run.end(ending.completion(completion), ending.connectionLost) }
+        val body = AnswerBody(result.body, result.abort) { run.end(it.completion(completion), it.requestEnd(completion)) }
         return AttemptResult.Answered(head, body, admission.load)
     }
 
--- a/endivestep/src/main/kotlin/org/endivestep/egress/EgressRun.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/EgressRun.kt
@@ -22,9 +22,9 @@
 
     fun elapsedMs(): Double = (clockNanos() - startNanos) / NANOS_PER_MS
 
-    fun end(completion: Completion, connectionLost: Boolean) {
+    fun end(completion: Completion, how: RequestEnd = RequestEnd.OTHER) {
         if (!ended.compareAndSet(false, true)) return
-        crashes.end(request, worker, connectionLost, answered = completion is Completion.Answered)
+        crashes.end(request, worker, how)
         admission.release(permit, completion)
     }
 
