Refuse a request that is quarantined while it waits for its worker

What callers saw: further workers crash of a request that is already known to crash them (BUDGET): a copy that waited for its admission was run when its turn came, since quarantine was checked on arrival only. Change: quarantine is one of the reasons for which a worker can't run a request, so it is checked again before the request is sent, and copies that wait are refused at once when the news of a death comes.

--- a/endivestep/src/main/kotlin/org/endivestep/daemon/Daemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/Daemon.kt
@@ -247,7 +247,7 @@
         when (action) {
             is GossipAction.Synchronize -> pools.submitControl { synchronizeWith(action.peer) }
             is GossipAction.FetchConfiguration -> configurationWatcher.fetchFrom(action.peer)
-            is GossipAction.Suspicions -> crashes.merge(action.entries)
+            is GossipAction.Suspicions -> supervisor.suspicionsReceived(action.entries)
             is GossipAction.Overrides -> overrides.merge(action.entries)
             is GossipAction.StoreRestored -> Unit
             is GossipAction.Send -> error("Send actions must be handled by Gossip")
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -254,7 +254,7 @@
         when (action) {
             is GossipAction.Synchronize -> pools.submitControl { synchronizeWith(action.peer) }
             is GossipAction.FetchConfiguration -> fetcher.fetchFrom(action.peer)
-            is GossipAction.Suspicions -> crashes.merge(action.entries)
+            is GossipAction.Suspicions -> supervisor.suspicionsReceived(action.entries)
             is GossipAction.Overrides -> overrides.merge(action.entries)
             is GossipAction.StoreRestored -> storeEra.observe(action.era, "another daemon")
             is GossipAction.Send -> error("Send actions must be handled by Gossip")
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/WorkerSupervisor.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/WorkerSupervisor.kt
@@ -87,6 +87,12 @@
         admission.refuseUnrunnable()
     }
 
+    /** Merges the suspicions of other daemons, and refuses the waiting requests that are quarantined by them. */
+    fun suspicionsReceived(entries: List<SuspicionEntry>) {
+        crashes.merge(entries)
+        admission.refuseUnrunnable()
+    }
+
     private companion object {
         const val USABLE_SHARE = 0.8
     }
--- a/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
@@ -73,7 +73,6 @@
         val service = document()?.services?.get(request.service) ?: return refuse(NotRunReason.NO_CONFIGURATION)
         val worker = workers.worker
         refusal(request, worker)?.let { return refuse(it) }
-        if (crashes.suspicionLevel(request.fingerprint) == SuspicionLevel.QUARANTINED) return refuse(NotRunReason.QUARANTINED)
         return when (val decision = admission.admit(admissionRequest(request))) {
             is Admission.Refused -> refuse(decision.reason)
             is Admission.Admitted -> runAdmitted(request, service, checkNotNull(worker), decision.permit, onAdmitted)
@@ -92,6 +91,7 @@
             worker == null || worker.announcement.service != request.service -> NotRunReason.NO_WORKER
             worker.phase == WorkerPhase.LEAVING -> NotRunReason.LEAVING
             worker.phase == WorkerPhase.DIED -> NotRunReason.WORKER_UNREACHABLE
+            crashes.suspicionLevel(request.fingerprint) == SuspicionLevel.QUARANTINED -> NotRunReason.QUARANTINED
             else -> null
         }
 
