Keep odd entries of other writers from ending what reads them

What callers saw, at other operators of such systems: one entry among those of the workers was nested very deeply, had a number too large or a port out of range, and the machines that read the list ended again and again or stopped following it. It can happen here. Not shown: that a port out of range does harm. DaemonDirectoryTest passes on the code before, too; it stays as a check.

--- a/endivestep/src/main/kotlin/org/endivestep/concurrent/BackgroundLoop.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/concurrent/BackgroundLoop.kt
@@ -22,7 +22,7 @@
         /**
          * Starts a daemon thread called [name] that calls [step] in a loop.
          *
-         * An exception from a step is logged, and the loop continues after a pause of 200 ms.
+         * An exception from a step, or the exhaustion of its stack, is logged, and the loop continues after a pause of 200 ms.
          */
         fun start(name: String, step: () -> Unit): BackgroundLoop {
             val running = AtomicBoolean(true)
@@ -40,12 +40,18 @@
                 } catch (e: InterruptedException) {
                     if (running.get()) logger.warn(e) { "background loop $name was interrupted without a stop request; continuing" }
                 } catch (e: Exception) {
-                    logger.warn(e) { "iteration of background loop $name failed" }
-                    pause()
+                    continueAfter(e, name)
+                } catch (e: StackOverflowError) {
+                    continueAfter(e, name)
                 }
             }
         }
 
+        private fun continueAfter(failure: Throwable, name: String) {
+            logger.warn(failure) { "iteration of background loop $name failed" }
+            pause()
+        }
+
         private fun pause() {
             try {
                 Thread.sleep(PAUSE_AFTER_FAILURE_MS)
--- a/endivestep/src/main/kotlin/org/endivestep/membership/DaemonDirectory.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/membership/DaemonDirectory.kt
@@ -4,6 +4,7 @@
 import org.endivestep.concurrent.BackgroundLoop
 import org.endivestep.concurrent.ExponentialBackoff
 import org.endivestep.settings.Address
+import org.endivestep.settings.parseAddress
 import org.endivestep.store.CollectionItem
 import org.endivestep.store.CollectionName
 import org.endivestep.store.ListedCollection
@@ -89,12 +90,13 @@
 
     private fun unknownAddresses(items: List<CollectionItem>): List<Address> {
         val known = gossip.members.filter { it.state == MemberState.ALIVE }.map { it.inner }.toSet()
-        return items.mapNotNull { addressOf(it.text) }.filter { it !in known }
+        return items.mapNotNull(::addressOf).filter { it !in known }
     }
 
-    private fun addressOf(text: String): Address? {
-        val port = text.substringAfterLast(':', "").toIntOrNull() ?: return null
-        return Address(text.substringBeforeLast(':'), port)
+    private fun addressOf(item: CollectionItem): Address? {
+        val address = parseAddress(item.text)
+        if (address == null) logger.warn { "ignoring the entry ${item.name}: it states no IP address and port" }
+        return address
     }
 
     private companion object {
--- a/endivestep/src/main/kotlin/org/endivestep/settings/DaemonSettings.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/settings/DaemonSettings.kt
@@ -7,11 +7,6 @@
 import org.endivestep.identity.DataCentreName
 import org.endivestep.identity.VmName
 
-/** Address of a process: an IP address and a TCP or UDP port. */
-internal data class Address(val host: String, val port: Int) {
-    override fun toString(): String = "$host:$port"
-}
-
 /** Settings of one daemon, read once at startup. */
 internal data class DaemonSettings(
     val vm: VmName,
@@ -35,7 +30,6 @@
 
 private const val MIN_SECRET_LENGTH = 16
 private const val MAX_PORT = 65_535L
-private val ipPattern = Regex("""(\d{1,3}\.){3}\d{1,3}|[0-9a-fA-F:]*:[0-9a-fA-F:.]*""")
 
 /** Parses and validates the settings file of a daemon. */
 internal fun readDaemonSettings(file: String, text: String): Checked<DaemonSettings> =
@@ -88,7 +82,7 @@
 
 private fun SectionReader.ipAddress(key: String): String {
     val host = text(key)
-    if (host.isNotEmpty() && !ipPattern.matches(host)) report(key, "must be an IP address, not \"$host\"")
+    if (host.isNotEmpty() && !isIpAddress(host)) report(key, "must be an IP address, not \"$host\"")
     return host
 }
 
@@ -108,12 +102,7 @@
 
 private fun SectionReader.addresses(key: String): List<Address> =
     list(key).mapNotNull { text ->
-        val port = text.substringAfterLast(':', "").toIntOrNull()
-        val host = text.substringBeforeLast(':')
-        if (port == null || !ipPattern.matches(host)) {
-            report(key, "\"$text\" must be an IP address and a port")
-            null
-        } else {
-            Address(host, port)
-        }
+        val address = parseAddress(text)
+        if (address == null) report(key, "\"$text\" must be an IP address and a port")
+        address
     }
--- a/endivestep/src/test/kotlin/org/endivestep/membership/DaemonDirectoryTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/membership/DaemonDirectoryTest.kt
@@ -18,12 +18,16 @@
 import org.endivestep.store.StoreRevision
 import org.endivestep.store.WatchedCollection
 import org.endivestep.store.WriteResult
+import java.net.DatagramPacket
 import java.net.DatagramSocket
+import java.net.InetAddress
 import java.util.SplittableRandom
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration.Companion.seconds
 
+private const val COPIES = 20
+
 private class AddressStore : ObjectCollections {
     val addresses = ConcurrentHashMap<String, String>()
     val writes = AtomicInteger()
@@ -86,4 +90,23 @@
                 directory.stop()
             }
         }
+
+        // Guards against entries that state no usable address keeping a daemon from announcing itself to the others.
+        test("an odd address of another writer does not hide the daemons beside it") {
+            val odd = listOf("", "10.0.0.1:70000", "10.0.0.1:-1", "10.0.0.1:0", "10.0.0.1:99999999999", "somewhere:7001", "[".repeat(99))
+            DatagramSocket(0, InetAddress.getLoopbackAddress()).use { daemon ->
+                val store = AddressStore()
+                // So many that one of them comes before the good address in whatever order they are tried.
+                repeat(COPIES) { copy -> odd.forEachIndexed { index, text -> store.addresses["odd-$copy-$index"] = text } }
+                store.addresses["vm-2"] = "127.0.0.1:${daemon.localPort}"
+                val gossip = gossip()
+                val directory = DaemonDirectory(store, gossip, SplittableRandom(1)) { }
+                gossip.start()
+                directory.start()
+                daemon.soTimeout = 5_000
+                daemon.receive(DatagramPacket(ByteArray(65_536), 65_536))
+                directory.stop()
+                gossip.stop()
+            }
+        }
     })
