Never send a body on that another attempt has begun to read

Cause: a reroute asked how the attempt ended, not whether its body could still be sent from the beginning; only a retry asked that. The question itself was answered by whether a byte had been read, but the body of a crossing is read by another thread, which may begin after the reroute was decided. Change: RequestBody.Streamed.open marks the body when it is given to its reader, before a thread is started for it, and takes the place of ReadTrackingStream. The dispatcher reroutes only what can be sent from its beginning; else the caller is told that it has not run.

--- a/endivestep/src/main/kotlin/org/endivestep/egress/JettyWorkerCall.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/JettyWorkerCall.kt
@@ -16,6 +16,7 @@
 import org.endivestep.outcome.HeaderField
 import org.endivestep.outcome.OutcomeHeaders
 import org.endivestep.settings.Address
+import java.io.InputStream
 import java.util.concurrent.ExecutionException
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.TimeoutException
@@ -90,9 +91,18 @@
         if (requestStarted.get()) WorkerResult.Failed(cause, timedOut) else WorkerResult.NotSent(cause)
 
     private class StreamedContent(type: String?, private val body: RequestBody.Streamed) :
-        InputStreamRequestContent(type ?: "application/octet-stream", body.stream) {
+        InputStreamRequestContent(type ?: "application/octet-stream", OpenedOnRead(body)) {
         override fun getLength(): Long = body.length
     }
 
+    // The client reads the body only once it is connected; until then the body can be sent to another worker.
+    private class OpenedOnRead(body: RequestBody.Streamed) : InputStream() {
+        private val stream by lazy(body::open)
+
+        override fun read(): Int = stream.read()
+
+        override fun read(target: ByteArray, start: Int, count: Int): Int = stream.read(target, start, count)
+    }
+
     private class CancelledException : RuntimeException("request aborted: the answer is no longer needed")
 }
--- a/endivestep/src/main/kotlin/org/endivestep/exchange/AttemptRequest.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/exchange/AttemptRequest.kt
@@ -16,7 +16,18 @@
     class Inline(val bytes: ByteArray) : RequestBody
 
     /** A body that can be read only once. [length] is in bytes, -1 when unknown. */
-    class Streamed(val stream: InputStream, val length: Long) : RequestBody
+    class Streamed(private val stream: InputStream, val length: Long) : RequestBody {
+        /** Whether somebody reads the body or is about to; after that it cannot be sent again from its beginning. */
+        @Volatile
+        var isOpened = false
+            private set
+
+        /** Returns the stream to its only reader. To be called before the reading is left to another thread. */
+        fun open(): InputStream {
+            isOpened = true
+            return stream
+        }
+    }
 }
 
 /** One attempt of a request at one worker. [path] includes the query. */
--- a/endivestep/src/main/kotlin/org/endivestep/http/HttpConnection.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/http/HttpConnection.kt
@@ -151,9 +151,10 @@
 
     private fun sendStream(body: RequestBody.Streamed) {
         val buffer = ByteArray(CHUNK_BYTES)
+        val stream = body.open()
         var length = 0L
         while (channel.isActive) {
-            val count = body.stream.read(buffer)
+            val count = stream.read(buffer)
             if (count < 0) break
             length += count
             // The peer would read bytes beyond the stated length as another request.
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
@@ -61,7 +61,7 @@
             val repliedBefore = history.workerReplied
             history.add(route.candidate.vm, result, monotonicMs() - startMs)
             call.trace = history.trace
-            if (shouldReroute(result, history)) {
+            if (call.replayable && shouldReroute(result, history)) {
                 history.reroutes++
                 attemptId = AttemptId(randomId())
                 continue
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/IncomingCall.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/IncomingCall.kt
@@ -17,8 +17,6 @@
 import org.endivestep.outcome.OutcomeHeaders
 import org.http4k.core.Request
 import java.io.ByteArrayInputStream
-import java.io.FilterInputStream
-import java.io.InputStream
 import java.io.SequenceInputStream
 
 private const val MAX_KEY_LENGTH = 256
@@ -41,7 +39,7 @@
     val rank: RequestRank = RequestRank(),
 ) {
     /** Whether the body can still be sent from its beginning. */
-    val replayable: Boolean get() = (body as? RequestBody.Streamed)?.let { !(it.stream as ReadTrackingStream).wasRead } ?: true
+    val replayable: Boolean get() = (body as? RequestBody.Streamed)?.isOpened != true
 
     /** Results of the attempts so far, for the log; see [AttemptHistory.trace]. */
     @Volatile
@@ -110,31 +108,14 @@
 private fun readBody(request: Request): RequestBody {
     val stream = request.body.stream
     val length = request.body.length ?: -1
-    if (length > MAX_INLINE_BODY_BYTES) return RequestBody.Streamed(ReadTrackingStream(stream), length)
+    if (length > MAX_INLINE_BODY_BYTES) return RequestBody.Streamed(stream, length)
     if (length >= 0) return RequestBody.Inline(stream.readWhole(length.toInt()))
     val start = stream.readNBytes(MAX_INLINE_BODY_BYTES + 1)
     if (start.size <= MAX_INLINE_BODY_BYTES) return RequestBody.Inline(start)
-    return RequestBody.Streamed(ReadTrackingStream(SequenceInputStream(ByteArrayInputStream(start), stream)), length)
+    return RequestBody.Streamed(SequenceInputStream(ByteArrayInputStream(start), stream), length)
 }
 
 private fun fingerprint(service: String, request: Request, key: String?, body: RequestBody): Fingerprint {
     val origin = RequestOrigin(service, request.header("Host").orEmpty().lowercase(), callerService = "", key.orEmpty())
     return requestFingerprint(request.method.name, request.uri.toString(), body, origin)
 }
-
-/** Tracks whether a read was attempted; after that the body cannot be sent again from its beginning. */
-internal class ReadTrackingStream(stream: InputStream) : FilterInputStream(stream) {
-    @Volatile
-    var wasRead = false
-        private set
-
-    override fun read(): Int {
-        wasRead = true
-        return super.read()
-    }
-
-    override fun read(target: ByteArray, start: Int, count: Int): Int {
-        wasRead = true
-        return super.read(target, start, count)
-    }
-}
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/ReceivedRequest.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/ReceivedRequest.kt
@@ -66,7 +66,7 @@
     val understandsChunks: Boolean get() = head.protocolVersion() != HttpVersion.HTTP_1_0
 
     fun toRequest(): CallerRequest {
-        val body = stream?.let { RequestBody.Streamed(ReadTrackingStream(it), length) } ?: RequestBody.Inline(buffered.toByteArray())
+        val body = stream?.let { RequestBody.Streamed(it, length) } ?: RequestBody.Inline(buffered.toByteArray())
         val headers = head.headers().map { HeaderField(it.key, it.value) }
         return CallerRequest(head.method().name(), head.uri(), headers, body, arrivedMs)
     }
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeClient.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeClient.kt
@@ -80,7 +80,8 @@
 
     private fun upload(call: ExchangeCall, request: AttemptRequest) {
         val body = request.body as? RequestBody.Streamed ?: return
-        uploads.execute { call.upload(body.stream) }
+        val stream = body.open()
+        uploads.execute { call.upload(stream) }
     }
 
     private fun awaitAnswer(
--- a/endivestep/src/test/kotlin/org/endivestep/ingress/NettyCallerServerTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/ingress/NettyCallerServerTest.kt
@@ -31,7 +31,7 @@
 private fun bodyOf(request: CallerRequest): String =
     when (val body = request.body) {
         is RequestBody.Inline -> body.bytes.decodeToString()
-        is RequestBody.Streamed -> body.stream.readBytes().decodeToString()
+        is RequestBody.Streamed -> body.open().readBytes().decodeToString()
     }
 
 class NettyCallerServerTest :
--- a/endivestep/src/test/kotlin/org/endivestep/protocol/ExchangeWireTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/protocol/ExchangeWireTest.kt
@@ -185,7 +185,7 @@
                 val bytes = ByteArray(size) { (it % 253).toByte() }
                 var uploaded = ByteArray(0)
                 val worker = { local: LocalWorker, request: org.endivestep.exchange.AttemptRequest ->
-                    uploaded = (request.body as RequestBody.Streamed).stream.readAllBytes()
+                    uploaded = (request.body as RequestBody.Streamed).open().readAllBytes()
                     answering(bytes)(local, request)
                 }
                 WireFixture(EgressFixture(worker = worker)).use { wire ->
