Bound the sending of a request body to the worker by the deadline

Cause: a body was written to the worker, and read from its caller, without a time limit; the time limit of the answer began only after the whole body. NettyWorkerCallTest: a worker that doesn't read, a caller that stops in the body, one that sends none; not run on the code before, where they would wait for ever.

--- a/endivestep/src/main/kotlin/org/endivestep/egress/NettyWorkerCall.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/NettyWorkerCall.kt
@@ -65,15 +65,18 @@
             WorkerResult.Cancelled
         } catch (e: IOException) {
             connection.close()
-            WorkerResult.Failed(e.toString(), timedOut = false)
+            failed(e.toString())
         }
 
+    // A body that took until the deadline ends with its connection.
+    private fun failed(cause: String) = WorkerResult.Failed(cause, timedOut = remainingMs() <= 0)
+
     private fun exchange(connection: HttpConnection): WorkerResult {
         if (remainingMs() <= 0) {
             connections.release(address, connection)
             return WorkerResult.Expired
         }
-        connection.send(head(), attempt.body) { !cancelled && remainingMs() > 0 }
+        connection.send(head(), attempt.body, remainingMs()) { !cancelled && remainingMs() > 0 }
         return when (val event = connection.next(remainingMs().coerceAtLeast(1))) {
             HttpResponseEvent.NotSent -> {
                 connections.release(address, connection)
@@ -87,7 +90,7 @@
                 WorkerResult.Failed("no answer before the deadline", timedOut = true)
             }
             is HttpResponseEvent.Failed ->
-                if (event.requestSent) WorkerResult.Failed(event.cause, timedOut = false) else WorkerResult.NotSent(event.cause)
+                if (event.requestSent) failed(event.cause) else WorkerResult.NotSent(event.cause)
             else -> {
                 connection.close()
                 WorkerResult.Failed("answer body without a head", timedOut = false)
--- a/endivestep/src/main/kotlin/org/endivestep/http/HttpConnection.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/http/HttpConnection.kt
@@ -21,6 +21,7 @@
 import org.endivestep.outcome.AnswerHead
 import org.endivestep.outcome.HeaderField
 import java.io.IOException
+import java.io.InputStream
 import java.util.concurrent.Callable
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
@@ -108,17 +109,18 @@
 
     /**
      * Sends [head] and [body]. Throws [IOException] when reading a streamed body fails or it differs from its stated
-     * length; the connection must then be closed.
+     * length; the connection must then be closed. A streamed body that is not sent within [bodyTimeoutMs], because its sender or
+     * its receiver is too slow, is closed, and so is the connection.
      *
      * The thread that writes may be late, so it asks [isStillNeeded] before it writes a request with an inline body;
      * if that returns false, nothing is sent and the next event is [HttpResponseEvent.NotSent].
      */
-    fun send(head: HttpRequest, body: RequestBody, isStillNeeded: () -> Boolean = { true }) {
+    fun send(head: HttpRequest, body: RequestBody, bodyTimeoutMs: Long = 0, isStillNeeded: () -> Boolean = { true }) {
         when (body) {
             is RequestBody.Inline -> channel.eventLoop().execute { if (isStillNeeded()) write(head, body) else skip() }
             is RequestBody.Streamed -> {
                 val started = channel.eventLoop().submit(Callable { start(head).also { channel.flush() } })
-                if (started.await().now == true) sendStream(body)
+                if (started.await().now == true) sendWithin(bodyTimeoutMs, body)
             }
         }
     }
@@ -149,9 +151,24 @@
         if (!written.isSuccess) events.add(HttpResponseEvent.Failed("could not write the request: ${written.cause()}", requestSent = true))
     }
 
-    private fun sendStream(body: RequestBody.Streamed) {
-        val buffer = ByteArray(CHUNK_BYTES)
+    private fun sendWithin(timeoutMs: Long, body: RequestBody.Streamed) {
         val stream = body.open()
+        val timeout = channel.eventLoop().schedule({ abandon(stream) }, timeoutMs, TimeUnit.MILLISECONDS)
+        try {
+            sendStream(stream, body)
+        } finally {
+            timeout.cancel(false)
+        }
+    }
+
+    // Closing both ends wakes the thread that sends the body, whichever of them it waits for.
+    private fun abandon(stream: InputStream) {
+        channel.close()
+        stream.close()
+    }
+
+    private fun sendStream(stream: InputStream, body: RequestBody.Streamed) {
+        val buffer = ByteArray(CHUNK_BYTES)
         var length = 0L
         while (channel.isActive) {
             val count = stream.read(buffer)
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/BodyQueue.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/BodyQueue.kt
@@ -12,6 +12,7 @@
     private var ended = false
     private var failure: String? = null
     private var paused = false
+    private var closed = false
 
     /** Called with true to pause the sender and with false to resume it. */
     @Volatile
@@ -19,6 +20,7 @@
 
     fun put(bytes: ByteArray, ended: Boolean) =
         synchronized(lock) {
+            if (closed) return
             if (bytes.isNotEmpty()) chunks.addLast(bytes)
             queuedBytes += bytes.size
             this.ended = this.ended || ended
@@ -32,6 +34,16 @@
             lock.notifyAll()
         }
 
+    /** Drops what is queued and all that follows; a read that waits, or begins later, fails. */
+    override fun close() =
+        synchronized(lock) {
+            closed = true
+            chunks.clear()
+            queuedBytes = 0
+            updateBackpressure()
+            fail("the request body is no longer read")
+        }
+
     override fun read(): Int {
         val one = ByteArray(1)
         return if (read(one, 0, 1) < 0) -1 else one[0].toInt() and BYTE_MASK
--- a/endivestep/src/test/kotlin/org/endivestep/egress/NettyWorkerCallTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/egress/NettyWorkerCallTest.kt
@@ -4,13 +4,16 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import org.endivestep.exchange.AttemptRequest
+import org.endivestep.exchange.RequestBody
 import org.endivestep.exchange.monotonicMs
 import org.endivestep.fakes.WorkerCallFixture
 import org.endivestep.fakes.WorkerConnection
 import org.endivestep.fakes.answerText
 import org.endivestep.fakes.scriptedWorker
 import org.endivestep.fakes.workerRequest
+import org.endivestep.ingress.BodyQueue
 import org.endivestep.settings.Address
+import java.io.InputStream
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
@@ -45,6 +48,7 @@
 }
 
 private const val DEADLINE_MS = 1_500L
+private const val NOT_READING_MS = 2_000L
 
 private fun <T> withCall(address: Address, use: (send: (AttemptRequest) -> String) -> T): T =
     WorkerCallFixture().use { fixture -> use { fixture.send(address, it) } }
@@ -97,6 +101,31 @@
             }
         }
 
+        // Guards against an upload that is never answered, because its worker or its caller has stopped while the body is sent.
+        test("a request whose body is not sent by the deadline times out, whichever side holds it up") {
+            class Case(val name: String, val body: RequestBody.Streamed)
+            val endless =
+                object : InputStream() {
+                    override fun read(): Int = 'x'.code
+
+                    override fun read(target: ByteArray, start: Int, count: Int): Int = count
+                }
+            listOf(
+                Case("a worker that does not read", RequestBody.Streamed(endless, -1)),
+                Case("a caller that sends nothing more", RequestBody.Streamed(BodyQueue().also { it.put(ByteArray(9), ended = false) }, -1)),
+                Case("a caller that sends nothing", RequestBody.Streamed(BodyQueue(), 100)),
+            ).forEach { case ->
+                scriptedWorker(listOf("")) { Thread.sleep(NOT_READING_MS) }.use { worker ->
+                    val startMs = monotonicMs()
+                    val upload = workerRequest("1", remainingMs = 300, method = "POST", body = case.body)
+                    withClue(case.name) {
+                        withCall(worker.address) { send -> send(upload) } shouldBe "timed out"
+                        (monotonicMs() - startMs in 290..1_500) shouldBe true
+                    }
+                }
+            }
+        }
+
         test("a request to a port where nothing listens is not sent") {
             val port = ServerSocket(0).use { it.localPort }
             withCall(Address("127.0.0.1", port)) { send -> send(workerRequest("1")) } shouldBe "not sent"
