Read on after an upload that was answered unread

What callers saw: after an upload of just over 1 MiB that was refused unread, the kept connection was read no more, and the next request on it had no answer (seen by the review, no case). Cause: the queue of the body had paused the reading, and nobody reads a queue whose request has been answered. Change: the connection remembers which request holds up the reading, and lets go when it was answered. Evidence: NettyCallerServerTest, five lengths around the queue's bound, passes; it was not run on the code before.

--- a/endivestep/src/main/kotlin/org/endivestep/ingress/CallerConnection.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/CallerConnection.kt
@@ -38,7 +38,9 @@
 ) : ChannelDuplexHandler() {
     private val pipeline = RequestPipeline<ServedRequest>()
     private var receiving: ReceivedRequest? = null
-    private var bodyPaused = false
+
+    // The request whose body holds up the reading, because its handler has not read what is there.
+    private var pausedBy: ReceivedRequest? = null
     private var closesAfterAnswer = false
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
@@ -84,7 +86,7 @@
     private fun enqueue(context: ChannelHandlerContext, request: ReceivedRequest, isWhole: Boolean) {
         request.onBackpressure { pause ->
             context.executor().execute {
-                bodyPaused = pause
+                if (pause) pausedBy = request else resumeAfter(request)
                 updateReading(context)
             }
         }
@@ -120,8 +122,12 @@
         }
     }
 
+    private fun resumeAfter(request: ReceivedRequest) {
+        if (pausedBy === request) pausedBy = null
+    }
+
     private fun updateReading(context: ChannelHandlerContext) {
-        context.channel().config().isAutoRead = !bodyPaused && !pipeline.isFull
+        context.channel().config().isAutoRead = pausedBy == null && !pipeline.isFull
     }
 
     /** Sees each part of an answer before it is written; only the answer to the first running request is being sent. */
@@ -144,7 +150,9 @@
         HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
 
     private fun endAnswer(context: ChannelHandlerContext, written: ChannelPromise) {
-        if (pipeline.first == null) return
+        val answered = pipeline.first ?: return
+        // Nobody reads the rest of a body whose request has been answered.
+        if (answered.isFor(pausedBy)) pausedBy = null
         pipeline.endFirst()?.allowAnswer()
         if (closesAfterAnswer || (isClosing() && isIdle())) {
             written.addListener { context.close() }
--- a/endivestep/src/test/kotlin/org/endivestep/ingress/NettyCallerServerTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/ingress/NettyCallerServerTest.kt
@@ -115,6 +115,28 @@
             }
         }
 
+        // Guards against a kept connection that is read no more, because the body of an answered upload still fills its queue.
+        test("a request behind an upload that was answered unread is answered") {
+            listOf(600_000, 1_040_000, 1_049_000, 1_100_000, 3_000_000).forEach { length ->
+                CallerServerFixture({ request ->
+                    // Until then the whole body has arrived, if it is read so far.
+                    if (request.method == "POST") Thread.sleep(300)
+                    reply(request.target)
+                }).use { server ->
+                    val answers =
+                        server.connect().use { socket ->
+                            val body = "x".repeat(length)
+                            val upload = "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: $length\r\n\r\n$body"
+                            val last = "GET /c HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+                            thread(isDaemon = true) { runCatching { socket.getOutputStream().write((upload + last).toByteArray()) } }
+                            runCatching { socket.getInputStream().readBytes().decodeToString() }.getOrDefault("no end")
+                        }
+                    // An answer before the end of the body closes the connection, so that nothing behind it is taken as read.
+                    withClue("$length bytes") { (answers.endsWith("/c") || "connection: close" in answers.lowercase()) shouldBe true }
+                }
+            }
+        }
+
         test("requests behind one that ends the connection are not run") {
             class Case(val name: String, val first: String)
             listOf(
