Treat a worker as cold when its data centre returns to service

Cause: the rate of a cold worker was set by heartbeats only, so until the next one the daemon went by the last, from before the return. Change: when the data centre returns, the worker counts as cold, at the rate and for the time that the configuration states, until its next report. A daemon's first configuration is no return, so a start isn't slowed. Weighed: a health request at the return would tell at once; it costs a probe, and the next heartbeat is at most 1.5 s away. ColdPeriodTest, five new cases.

--- a/endivestep/src/main/kotlin/org/endivestep/admission/ColdPeriod.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/admission/ColdPeriod.kt
@@ -23,6 +23,16 @@
         apply()
     }
 
+    /**
+     * Treats the worker of [service] as cold until its next report: it may have become cold unnoticed, because it was not used
+     * and its last report is from before.
+     */
+    @Synchronized
+    fun assumeCold(service: ServiceName) {
+        val rate = document?.services?.get(service)?.coldRate ?: return
+        report(service, rate.durationMs)
+    }
+
     /** Takes the rates of cold workers from [document]; to be called before requests are served by it. */
     @Synchronized
     fun configure(document: Document) {
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/ConfigurationApplier.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/ConfigurationApplier.kt
@@ -19,7 +19,7 @@
     private val admission: AdmissionQueue,
     private val gossip: Gossip,
 ) {
-    private var inService = false
+    private var inService: Boolean? = null
 
     fun adopted(configuration: ActiveConfiguration) {
         synchronized(quarantine) { quarantine.configure(configuration.document.quarantine) }
@@ -37,10 +37,11 @@
 
     @Synchronized
     private fun applyState() {
-        val wasOut = !inService
+        val before = inService
         inService = overrides.document?.isIn(dataCentre) == true
         // The workers of a data centre that returns to service are cold, because they had no traffic.
-        if (wasOut && inService) admission.makeCold()
+        if (before != true && inService == true) admission.makeCold()
+        if (before == false && inService == true) supervisor.assumeCold()
         gossip.pushUpdate()
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/WorkerSupervisor.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/WorkerSupervisor.kt
@@ -43,6 +43,13 @@
     /** Records that the worker of [service] is cold for another [coldMs]; to be called before the worker is announced. */
     fun markCold(service: ServiceName, coldMs: Long) = coldPeriod.report(service, coldMs)
 
+    /** Treats the worker as cold until it reports otherwise, because its data centre was out of service until now. */
+    fun assumeCold() {
+        val service = workers.worker?.announcement?.service ?: return
+        logger.info { "treating the worker as cold until its next heartbeat: its data centre returns to service" }
+        coldPeriod.assumeCold(service)
+    }
+
     /** Handles an announcement of the worker; returns the number of its requests in flight. */
     fun announce(announcement: Announcement): Int {
         when (val effect = workers.announce(announcement)) {
--- a/endivestep/src/test/kotlin/org/endivestep/admission/ColdPeriodTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/admission/ColdPeriodTest.kt
@@ -37,6 +37,11 @@
                 Case("cold again after it was warm", listOf("document", "cold", "warm", "cold"), PER_SECOND.toInt()),
                 Case("warm", listOf("document", "warm"), SLOTS),
                 Case("warm after it was cold", listOf("cold", "document", "warm"), SLOTS),
+                Case("assumed cold after a report that it is warm", listOf("document", "warm", "assume"), PER_SECOND.toInt()),
+                Case("assumed cold, then reported warm", listOf("document", "assume", "warm"), SLOTS),
+                Case("assumed cold, then reported cold", listOf("document", "assume", "cold"), PER_SECOND.toInt()),
+                Case("assumed cold for as long as a worker is, without a report", listOf("document", "assume", "pause"), SLOTS),
+                Case("assumed cold, no rate known", listOf("warm", "assume", "document"), SLOTS),
                 Case("cold time over before the document arrives", listOf("cold", "pause", "document"), SLOTS),
             ).forEach { case ->
                 var nowMs = 0L
@@ -48,6 +53,7 @@
                     when (event) {
                         "cold" -> period.report(service, COLD_MS)
                         "warm" -> period.report(service, 0)
+                        "assume" -> period.assumeCold(service)
                         "document" -> period.configure(documentWith(PER_SECOND))
                         "no rate" -> period.configure(documentWith(null))
                         else -> nowMs += COLD_MS + 1
