Read the platform's limits under their names

The ratio and slack of retries were the defaults, too, instead of the platform's. Cause: the template rendered the parameters without their names, and lines that the settings don't know fell back to defaults silently. On the small sites the grace period is the default, which hid it. The tests wrote the settings by hand. Defaults that take the place of a missing limit, and limits that the platform states and the daemon doesn't use, are in the log of the start. The tests of the fleet render the template.

--- a/emulator/src/test/kotlin/org/endivestep/emulator/PlatformFleet.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/PlatformFleet.kt
@@ -1,5 +1,7 @@
 package org.endivestep.emulator
 
+import org.endivestep.fakes.TemplateFields
+import org.endivestep.fakes.renderTemplate
 import java.io.Closeable
 import java.io.File
 import java.net.URI
@@ -31,6 +33,8 @@
     /** Host under which all daemons reach the store; they take its address for their shared secret. */
     val storeHost: String = "127.0.0.1",
     val javaOptions: (PlatformNode) -> String? = { null },
+    /** Limits that the platform states, by name. */
+    val parameters: Map<String, String> = mapOf("retry_ratio" to "0.2", "retry_slack" to "60", "grace_s" to "6"),
 )
 
 /** Fleet of real processes on loopback: the emulated store of the platform, and on each of [nodes] a daemon with its worker. */
@@ -150,30 +154,29 @@
             HttpResponse.BodyHandlers.ofString(),
         )
 
-    private fun settingsOf(node: PlatformNode): String =
-        """
-        [daemon]
-        vm = ${node.vm}
-        data-centre = ${node.dataCentre}
-        host = ${network.host(node)}
-        ports = ${node.innerPort},${node.innerPort + 1}
-        caller-address = 127.0.0.1:${node.callerPort}
-        readiness-address = 127.0.0.1:${node.readinessPort}
-        heartbeat-address = 127.0.0.1:${node.heartbeatPort}
-        [worker]
-        service = ${node.service}
-        address = 127.0.0.1:${node.workerPort}
-        [data-centres]
-        ${nodes.map { it.dataCentre }.distinct().joinToString("\n        ") { "$it = nl-west" }}
-        [store]
-        address = ${network.storeHost}:$storePort
-        [bounds]
-        retry_ratio=0.2
-        retry_slack=60
-        grace_s=6
-        """.trimIndent()
+    private fun settingsOf(node: PlatformNode): String {
+        val texts =
+            mapOf(
+                "node_name" to node.vm,
+                "zone" to node.dataCentre,
+                "ip" to network.host(node),
+                "port_range" to "${node.innerPort},${node.innerPort + 1}",
+                "bind.outbound" to "127.0.0.1:${node.callerPort}",
+                "bind.ready" to "127.0.0.1:${node.readinessPort}",
+                "bind.control" to "127.0.0.1:${node.heartbeatPort}",
+                "service" to node.service,
+                "app_addr" to "127.0.0.1:${node.workerPort}",
+                "platform.address" to "${network.storeHost}:$storePort",
+            )
+        val zones = nodes.map { it.dataCentre }.distinct().associateWith { "nl-west" }
+        val template = File("../platform/settings.ini").readText().replace(METRICS_PORT, "metrics-port = 0")
+        return renderTemplate(template, TemplateFields(texts, mapOf("zones" to zones, "parameters" to network.parameters)))
+    }
 
     private companion object {
         const val CONFLICT = 409
+
+        // The daemons of a fleet share one host, so only one of them could have the port.
+        val METRICS_PORT = Regex("metrics-port = .*")
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/commands/RunDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/commands/RunDaemon.kt
@@ -5,6 +5,7 @@
 import org.endivestep.daemon.Daemon
 import org.endivestep.daemon.PlatformDaemon
 import org.endivestep.findings.Checked
+import org.endivestep.platform.PlatformBounds
 import org.endivestep.platform.SETTINGS_VARIABLE
 import org.endivestep.platform.readPlatformSettings
 import org.endivestep.settings.readDaemonSettings
@@ -43,6 +44,7 @@
             is Checked.Invalid -> return reportFindings(checked.findings, json = false)
             is Checked.Valid -> checked.value
         }
+    logBounds(settings.bounds)
     return runUntilSignal {
         val daemon = PlatformDaemon(settings)
         daemon.start()
@@ -69,6 +71,12 @@
     }
 }
 
+// A default in place of a limit of the platform may break a promise that rests on it.
+private fun logBounds(bounds: PlatformBounds) {
+    if (bounds.defaulted.isNotEmpty()) logger.warn { "the platform does not state ${bounds.defaulted}; using defaults: $bounds" }
+    logger.info { "the platform states these limits, which this daemon does not use: ${bounds.unused}" }
+}
+
 // [start] returns the function that stops the daemon, which in turn returns whether all requests had ended.
 private fun runUntilSignal(start: () -> () -> Boolean): ExitCode {
     val signalled = CountDownLatch(1)
