Tell daemons that start, or know less, of the suspicions of the others

Cause: an entry is sent 20 times when it is new, and never again; a daemon that cleared or lost one reported its later deaths alone, and nobody added those that they knew. Change: a daemon that announces a new run of itself is sent the suspicions, the gravest 24 first; one that reports fewer deaths than are known is told of the others.

--- a/endivestep/src/main/kotlin/org/endivestep/daemon/Daemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/Daemon.kt
@@ -105,7 +105,10 @@
     private val channels = PeerChannels(security)
     private val exchanges = ExchangeClient(channels, pools.uploads)
     private val control = ControlClient(channels)
-    private val protocol = GossipProtocol(initialMemberInfo(settings), random, overrides = overrides::entries) { adoption.position }
+    private val protocol =
+        GossipProtocol(initialMemberInfo(settings), random, overrides = overrides::entries, knownSuspicions = crashes::suspicions) {
+            adoption.position
+        }
     private val gossip: Gossip = Gossip(protocol, GossipCodec(security), udpSocket(), ::monotonicMs, ::handleGossipAction)
     private val supervisor: WorkerSupervisor = WorkerSupervisor(workers, admission, crashes, inFlight, gossip, ::document)
     private val applier: ConfigurationApplier =
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -39,6 +39,7 @@
 import org.endivestep.membership.Gossip
 import org.endivestep.membership.GossipAction
 import org.endivestep.membership.GossipProtocol
+import org.endivestep.membership.GossipSettings
 import org.endivestep.membership.MemberInfo
 import org.endivestep.membership.MemberState
 import org.endivestep.membership.newDaemonIncarnation
@@ -126,7 +127,7 @@
     private val exchanges = ExchangeClient(channels, pools.uploads)
     private val control = ControlClient(channels)
     private val protocol =
-        GossipProtocol(initialMemberInfo(), random, overrides = overrides::entries, storeEra = ::knownEra) { adoption.position }
+        GossipProtocol(initialMemberInfo(), random, GossipSettings(), overrides::entries, ::knownEra, crashes::suspicions) { adoption.position }
     private val gossip: Gossip = Gossip(protocol, GossipCodec(security), udpSocket(), ::monotonicMs, ::handleGossipAction)
     private val supervisor: WorkerSupervisor = WorkerSupervisor(workers, admission, crashes, inFlight, gossip, ::document)
     private val applier: ConfigurationApplier =
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/WorkerSupervisor.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/WorkerSupervisor.kt
@@ -96,7 +96,8 @@
 
     /** Merges the suspicions of other daemons, and refuses the waiting requests that are quarantined by them. */
     fun suspicionsReceived(entries: List<SuspicionEntry>) {
-        crashes.merge(entries)
+        val unknownToSender = crashes.merge(entries)
+        if (unknownToSender.isNotEmpty()) gossip.pushUpdate(unknownToSender)
         admission.refuseUnrunnable()
     }
 
--- a/endivestep/src/main/kotlin/org/endivestep/egress/CrashDetector.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/CrashDetector.kt
@@ -55,8 +55,17 @@
         if (workers.markDead(worker) != null) recordDeath(worker, DeathEvidence.NOT_LISTENING)
     }
 
-    /** Merges suspicion entries received from other daemons. */
-    fun merge(entries: List<SuspicionEntry>) = synchronized(quarantine) { entries.forEach(quarantine::merge) }
+    /** Suspicions that this daemon has, the gravest first. */
+    fun suspicions(): List<SuspicionEntry> = synchronized(quarantine) { quarantine.suspicions() }
+
+    /** Merges suspicion entries received from other daemons; returns this daemon's own entries where they count more deaths. */
+    fun merge(entries: List<SuspicionEntry>): List<SuspicionEntry> =
+        synchronized(quarantine) {
+            entries.forEach(quarantine::merge)
+            entries.mapNotNull { received ->
+                quarantine.suspicion(received.fingerprint)?.takeUnless { received.deaths.containsAll(it.deaths) }
+            }
+        }
 
     private fun recordDeath(worker: LocalWorker, evidence: DeathEvidence) {
         val fingerprints = inFlight.takeAtDeath()
--- a/endivestep/src/main/kotlin/org/endivestep/membership/GossipProtocol.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/membership/GossipProtocol.kt
@@ -21,6 +21,8 @@
     private val settings: GossipSettings = GossipSettings(),
     private val overrides: () -> List<DataCentreOverride> = { emptyList() },
     private val storeEra: () -> StoreEra = { firstStoreEra },
+    /** Returns the suspicions that this daemon has, the gravest first. */
+    private val knownSuspicions: () -> List<SuspicionEntry> = { emptyList() },
     private val configuration: () -> ConfigurationPosition,
 ) {
     private class Probe(val target: MemberInfo, val sentMs: Long, var indirect: Boolean)
@@ -98,6 +100,7 @@
     /** Handles [message], received from [source]. */
     fun receive(message: GossipMessage, source: Address, nowMs: Long): List<GossipAction> {
         val actions = mutableListOf<GossipAction>()
+        val knownRun = table.find(message.from)?.incarnation
         val updates = message.members.mapNotNull { table.merge(it, nowMs) }
         updates.forEach(dissemination::add)
         val isIntroduction = updates.any { it.vm == message.from }
@@ -111,6 +114,7 @@
         if (message.storeEra > storeEra()) actions += GossipAction.StoreRestored(message.storeEra)
         if (message.configuration > configuration()) actions += GossipAction.FetchConfiguration(source)
         actions += respond(message, source, isIntroduction)
+        if (isIntroduction && table.find(message.from)?.incarnation != knownRun) actions += sendSuspicions(source)
         actions += compareDigest(message, source, nowMs)
         return actions
     }
@@ -122,6 +126,12 @@
         return listOf(GossipAction.Synchronize(source))
     }
 
+    // A daemon that has just started knows none of the suspicions that were disseminated before.
+    private fun sendSuspicions(to: Address): List<GossipAction> =
+        knownSuspicions().take(MAX_SUSPICIONS_SENT).chunked(SuspicionDissemination.ENTRIES_PER_MESSAGE).map {
+            GossipAction.Send(to, compose(GossipType.UPDATE, nextSequence++, entries = it))
+        }
+
     private fun respond(message: GossipMessage, source: Address, isIntroduction: Boolean): List<GossipAction> =
         when (message.type) {
             GossipType.PING ->
@@ -233,6 +243,7 @@
         target: VmName? = null,
         subject: VmName? = null,
         includesSelf: Boolean = false,
+        entries: List<SuspicionEntry>? = null,
     ): GossipMessage {
         val updates = dissemination.take(settings.membersPerMessage, table.members.size)
         // A member that is not considered alive is sent its entry, so that it can refute it.
@@ -246,7 +257,7 @@
             configuration = configuration(),
             storeEra = storeEra(),
             members = updates + listOfNotNull(subjectEntry, self),
-            suspicions = suspicions.take(),
+            suspicions = entries ?: suspicions.take(),
             overrides = overrides(),
             digest = table.digest,
         )
@@ -271,6 +282,7 @@
 
     private companion object {
         const val MAX_RELAYED_PINGS = 256
+        const val MAX_SUSPICIONS_SENT = 24
         const val DEAD_PROBE_PERIODS = 5
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/membership/SuspicionDissemination.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/membership/SuspicionDissemination.kt
@@ -11,18 +11,19 @@
     private val items = ArrayDeque<Item>()
     private val seen = LinkedHashMap<Fingerprint, Set<WorkerRunId>>()
 
-    fun add(entries: List<SuspicionEntry>) {
-        addNew(entries)
-    }
-
-    /** Adds the entries with deaths not seen before, and returns them. */
-    fun addNew(entries: List<SuspicionEntry>): List<SuspicionEntry> {
-        val added = entries.filter { !seen[it.fingerprint].orEmpty().containsAll(it.deaths) }
-        added.forEach { entry ->
+    /** Adds [entries], also such as were sent before, because another daemon turned out not to have them. */
+    fun add(entries: List<SuspicionEntry>) =
+        entries.forEach { entry ->
             seen[entry.fingerprint] = seen[entry.fingerprint].orEmpty() + entry.deaths
             if (seen.size > MAX_SEEN) seen.remove(seen.keys.first())
+            items.removeAll { it.entry.fingerprint == entry.fingerprint }
             items.addLast(Item(entry, TRANSMISSIONS))
         }
+
+    /** Adds the entries with deaths not seen before, and returns them. */
+    fun addNew(entries: List<SuspicionEntry>): List<SuspicionEntry> {
+        val added = entries.filter { !seen[it.fingerprint].orEmpty().containsAll(it.deaths) }
+        add(added)
         return added
     }
 
@@ -34,9 +35,11 @@
         return chosen.map { it.entry }
     }
 
-    private companion object {
-        const val TRANSMISSIONS = 20
+    companion object {
+        /** Number of entries in one message. */
         const val ENTRIES_PER_MESSAGE = 6
-        const val MAX_SEEN = 4_096
+
+        private const val TRANSMISSIONS = 20
+        private const val MAX_SEEN = 4_096
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/quarantine/Quarantine.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/quarantine/Quarantine.kt
@@ -108,6 +108,12 @@
         return isNew
     }
 
+    /** Returns the entries of all suspected requests, those with the most deaths first. */
+    fun suspicions(): List<SuspicionEntry> = entries.fingerprints().mapNotNull(::suspicion).sortedByDescending { it.deaths.size }
+
+    /** Returns the entry of one request, or null when it is not suspected. */
+    fun suspicion(fingerprint: Fingerprint): SuspicionEntry? = entries[fingerprint]?.let { toSuspicionEntry(fingerprint, it) }
+
     private fun add(other: SuspicionEntry): Boolean {
         val untilMs = clockMs() + minOf(other.remainingMs, settings.durationMs)
         return entries.merge(other.fingerprint, SuspicionTable.Entry(other.deaths, untilMs, other.lone))
