Accept SIGHUP from the first statement of the daemon's command

Change: the handler is installed before the log and the command line are loaded. What the runtime itself takes before main remains.

--- a/endivestep/src/main/kotlin/org/endivestep/commands/CommandLine.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/commands/CommandLine.kt
@@ -11,6 +11,9 @@
 
 private const val DEFAULT_SERVER = "http://127.0.0.1:9003"
 
+/** Name of the command that runs a daemon on the users' platform. */
+internal const val PLATFORM_DAEMON = "platform-daemon"
+
 /** Runs the subcommand that [arguments] name. `--help` prints usage and exits with 0. */
 @OptIn(ExperimentalCli::class)
 internal fun runCommandLine(arguments: Array<String>): ExitCode {
@@ -64,7 +67,7 @@
 }
 
 private class PlatformDaemonCommand(onExit: (ExitCode) -> Unit) :
-    Command("platform-daemon", "Run a daemon on the platform until SIGTERM", onExit) {
+    Command(PLATFORM_DAEMON, "Run a daemon on the platform until SIGTERM", onExit) {
     override fun run(): ExitCode = runPlatformDaemon()
 }
 
--- a/endivestep/src/main/kotlin/org/endivestep/commands/RunDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/commands/RunDaemon.kt
@@ -13,7 +13,6 @@
 import java.io.File
 import java.io.IOException
 import java.util.concurrent.CountDownLatch
-import java.util.concurrent.Semaphore
 
 private val logger = KotlinLogging.logger {}
 
@@ -34,9 +33,6 @@
 
 /** Runs a daemon with the settings file that the platform has rendered, until SIGTERM or SIGINT. SIGHUP reloads the file. */
 internal fun runPlatformDaemon(): ExitCode {
-    // Without a handler SIGHUP ends the process, so there must be one before the daemon is loaded and started, which takes a while.
-    val reloads = Semaphore(0)
-    Signal.handle(Signal("HUP")) { reloads.release() }
     val path = System.getenv(SETTINGS_VARIABLE) ?: return fail(ExitCode.INVALID, "$SETTINGS_VARIABLE is not set")
     val text = readOrReport(path) ?: return ExitCode.INVALID
     val settings =
@@ -49,8 +45,7 @@
         val daemon = PlatformDaemon(settings)
         daemon.start()
         BackgroundLoop.start("reload-settings") {
-            reloads.acquire()
-            reloads.drainPermits()
+            awaitReloadSignal()
             reload(daemon, path)
         }
         daemon::stop
