--- a/endivestep/src/main/kotlin/org/endivestep/membership/DaemonDirectory.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/membership/DaemonDirectory.kt
@@ -95,7 +95,7 @@
 
     private fun addressOf(item: CollectionItem): Address? {
         val address = parseAddress(item.text)
-        if (address == null) logger.warn { "ignoring the entry ${item.name}: it states no IP address and port" }
+        if (address == null) logger.warn { "ignoring the entry ${item.name}: it states no host and port" }
         return address
     }
 
--- a/endivestep/src/main/kotlin/org/endivestep/settings/DaemonSettings.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/settings/DaemonSettings.kt
@@ -102,7 +102,7 @@
 
 private fun SectionReader.addresses(key: String): List<Address> =
     list(key).mapNotNull { text ->
-        val address = parseAddress(text)
+        val address = parseAddress(text)?.takeIf { isIpAddress(it.host) }
         if (address == null) report(key, "\"$text\" must be an IP address and a port")
         address
     }
