Crash workers, stop their reading and send long uploads in the fault soak

Change: a series of faults of the workers, drawn apart so that a seed keeps the others: a worker ends with all of its connections and comes back under its id or another one, or reads nothing for a while; one order in twelve has a body of over 700 KB. New finding: eight or more requests, and over a quarter of those that last longer than their time, that get no answer from daemons that aren't disturbed. The callers draw more than before, so earlier seeds don't repeat their requests.

--- a/emulator/src/main/kotlin/org/endivestep/emulator/SpoilingWorkerServer.kt
+++ b/emulator/src/main/kotlin/org/endivestep/emulator/SpoilingWorkerServer.kt
@@ -2,7 +2,9 @@
 
 import java.io.BufferedInputStream
 import java.io.Closeable
+import java.io.FilterInputStream
 import java.io.IOException
+import java.io.InputStream
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
@@ -23,7 +25,11 @@
     val fault: AnswerFault?,
     /** Whether a second copy of an earlier answer was sent before the answer to this request. */
     val followsCopy: Boolean,
-)
+) {
+    /** Whether the worker crashed before it had answered. */
+    @Volatile
+    var wasInterrupted = false
+}
 
 /**
  * Emulated worker of the platform on plain sockets, which can spoil its answers in ways that a server library does not allow.
@@ -44,6 +50,10 @@
     /** Requests that this worker ran, in the order in which they started. */
     val runs: Collection<WorkerRun> get() = recorded
 
+    /** Whether nothing more is read from the connections for now. */
+    @Volatile
+    var readsNothing = false
+
     init {
         thread(isDaemon = true, name = "worker-${behaviour.id}") { accept() }
     }
@@ -67,7 +77,7 @@
 
     private fun serve(socket: Socket) {
         try {
-            val input = BufferedInputStream(socket.getInputStream())
+            val input = BufferedInputStream(PausableInput(socket.getInputStream()))
             var late = ByteArray(0)
             while (true) {
                 val request = RawHttpMessage.read(input) ?: break
@@ -85,6 +95,13 @@
         }
     }
 
+    private inner class PausableInput(input: InputStream) : FilterInputStream(input) {
+        override fun read(target: ByteArray, start: Int, count: Int): Int {
+            while (readsNothing && !listener.isClosed) Thread.sleep(READ_CHECK_MS)
+            return super.read(target, start, count)
+        }
+    }
+
     private fun resetOnClose(socket: Socket) {
         Thread.sleep(RESET_DELAY_MS)
         socket.setSoLinger(true, 0)
@@ -118,9 +135,11 @@
         val fault = chooseFault()
         val target = request.startLine.substringBeforeLast(' ')
         val digest = AnswerContent.digest(request.body)
-        recorded += WorkerRun(id, target, request.header("X-Caller"), digest, service, System.nanoTime(), fault, followsCopy)
+        val run = WorkerRun(id, target, request.header("X-Caller"), digest, service, System.nanoTime(), fault, followsCopy)
+        recorded += run
         try {
             Thread.sleep(behaviour.workMs)
+            run.wasInterrupted = listener.isClosed
             return Answer(spoilt(id, fault), fault)
         } finally {
             running.decrementAndGet()
@@ -154,6 +173,7 @@
 
         // A reset discards what the receiver has not read yet.
         const val RESET_DELAY_MS = 30L
+        const val READ_CHECK_MS = 20L
         const val HEALTH_PATH = "/health"
         val truncatingFaults = setOf(AnswerFault.TRUNCATED, AnswerFault.TRUNCATED_BY_RESET)
         val closingFaults = truncatingFaults + AnswerFault.GARBAGE
--- a/emulator/src/test/kotlin/org/endivestep/emulator/SoakCaller.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/SoakCaller.kt
@@ -76,7 +76,7 @@
         val id = "$name-${count++}"
         val path = drawPath() + id
         val isOrder = path.startsWith("/orders/")
-        val body = if (isOrder) AnswerContent.of("body of $id") else ByteArray(0)
+        val body = if (isOrder) drawBody(id) else ByteArray(0)
         val startNanos = System.nanoTime()
         val isSent = send(connected, id, path, body)
         val sentNanos = System.nanoTime()
@@ -85,6 +85,13 @@
         return SoakRequest(id, node, if (isOrder) "POST" else "GET", path, digest, startNanos, sentNanos, System.nanoTime(), ending)
     }
 
+    // Some bodies are so long that a daemon passes them on while they arrive.
+    private fun drawBody(id: String): ByteArray {
+        val content = AnswerContent.of("body of $id")
+        if (random.nextInt(LONG_BODY_ONE_IN) != 0) return content
+        return ByteArray(LONG_BODY_BYTES + content.size) { content[it % content.size] }
+    }
+
     private fun drawPath(): String =
         when (random.nextInt(10)) {
             in 0..3 -> "/reads/"
@@ -150,5 +157,7 @@
         private const val RECONNECT_PAUSE_MS = 100L
         private const val MIN_PAUSE_MS = 20
         private const val MAX_PAUSE_MS = 80
+        private const val LONG_BODY_ONE_IN = 12
+        private const val LONG_BODY_BYTES = 700_000
     }
 }
--- a/emulator/src/test/kotlin/org/endivestep/emulator/SoakFaults.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/SoakFaults.kt
@@ -13,6 +13,7 @@
 internal class SoakFaults(
     private val fleet: PlatformFleet,
     private val network: SoakNetwork,
+    private val workers: Map<PlatformNode, SoakWorker>,
     private val spoilt: Map<PlatformNode, SpoiltShare>,
     private val history: SoakHistory,
 ) {
@@ -60,6 +61,8 @@
             FaultKind.PEERS_CUT_ONE_WAY -> disturbPeers(node, fault, cutOneWay)
             FaultKind.PEERS_SILENCED -> disturbPeers(node, fault, silenced)
             FaultKind.ANSWERS_SPOILT -> spoil(node, fault)
+            FaultKind.WORKER_CRASHED -> workers.getValue(node).crash(fault.durationMs, keepsId = fault.severity < 0.5)
+            FaultKind.WORKER_NOT_READING -> workers.getValue(node).stopReading(fault.durationMs)
             FaultKind.CONFIGURATION_CHANGED -> configure()
             else -> playOnStore(fault)
         }
--- a/emulator/src/test/kotlin/org/endivestep/emulator/SoakRules.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/SoakRules.kt
@@ -19,6 +19,7 @@
             requests.mapNotNull(::refusedButRan) +
             requests.mapNotNull(::lost) +
             requests.mapNotNull(::outdated) +
+            unanswered(requests) +
             requests.groupBy { it.node to history.daemonRun(it.node, it.startNanos) }.values.flatMap(::regressed) +
             runsById.values.flatten().mapNotNull { unasked(it, byId[it.requestId]) }
     }
@@ -66,7 +67,7 @@
         if (!history.isStopping(request.endNanos, GRACE_NANOS + SECOND_NANOS)) return null
         if (history.disturbances.any { !it.isPlanned && !it.affectsStore && it.overlaps(fromNanos, request.endNanos) }) return null
         val ownRuns = runsOf(request)
-        if (ownRuns.any { it.fault != null || it.followsCopy }) return null
+        if (ownRuns.any { it.fault != null || it.followsCopy || it.wasInterrupted }) return null
         val elapsedNanos = request.endNanos - request.sentNanos
         val slackNanos = LOSS_SLACK_NANOS + history.stalledNanos(request.sentNanos, request.endNanos)
         val ending = request.ending
@@ -79,6 +80,14 @@
         return if (isLost) "LOST: ${describe(request)}" else null
     }
 
+    /** Requests that last longer than their time are answered all the same; a few may be late. */
+    private fun unanswered(requests: List<SoakRequest>): List<String> {
+        val lasting = requests.filter { it.endNanos - it.sentNanos >= DEADLINE_NANOS && !isDisturbed(it) }
+        val missing = lasting.filter { it.ending == Ending.TimedOut && history.stalledNanos(it.sentNanos, it.endNanos) == 0L }
+        if (missing.size < MIN_UNANSWERED || missing.size * UNANSWERED_ONE_IN <= lasting.size) return emptyList()
+        return listOf("CONFIG: ${missing.size} of ${lasting.size} requests that lasted have no answer, the first: ${describe(missing.first())}")
+    }
+
     private fun outdated(request: SoakRequest): String? {
         val written = history.configurations
         val isDisturbed = isDisturbed(request)
@@ -157,6 +166,9 @@
         /** Statuses that promise that the request has not run and never will. */
         val promisingStatuses = setOf(408, 421, 429, 503)
 
+        const val MIN_UNANSWERED = 8
+        const val UNANSWERED_ONE_IN = 4
+
         val SECOND_NANOS = TimeUnit.SECONDS.toNanos(1)
         val DEADLINE_NANOS = TimeUnit.MILLISECONDS.toNanos(SoakCaller.DEADLINE_MS.toLong())
 
--- a/emulator/src/test/kotlin/org/endivestep/emulator/SoakRun.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/SoakRun.kt
@@ -16,7 +16,11 @@
     private val schedule = SoakSchedule.draw(seed, faultsMs)
     private val history = SoakHistory()
     private val spoilt = nodes.associateWith { SpoiltShare() }
-    private val workers = HashMap<PlatformNode, SpoilingWorkerServer>()
+    private val workers =
+        nodes.associateWith { node ->
+            val random = Random(seed * nodes.size + nodes.indexOf(node))
+            SoakWorker(node) { drawAnswerFault(random, spoilt.getValue(node).share) }
+        }
 
     @Volatile
     private var isOver = false
@@ -27,10 +31,9 @@
         val network = SoakNetwork(nodes, storePort)
         PlatformFleet(nodes, network.asFleetNetwork, storePort).use { fleet ->
             network.use {
-                val heartbeats = startWorkers()
-                val failure = runCatching { play(fleet, SoakFaults(fleet, network, spoilt, history)) }.exceptionOrNull()
+                workers.values.forEach { it.start() }
+                val failure = runCatching { play(fleet, SoakFaults(fleet, network, workers, spoilt, history)) }.exceptionOrNull()
                 isOver = true
-                heartbeats.forEach { it.close() }
                 workers.values.forEach { it.close() }
                 val findings =
                     listOfNotNull(failure?.let { "RECOVER: $it" }) + SoakRules(history, workers.mapValues { it.value.runs }).findings()
@@ -49,16 +52,6 @@
             }}"
     }
 
-    private fun startWorkers(): List<PlatformHeartbeats> =
-        nodes.map { node ->
-            val random = Random(seed * nodes.size + nodes.indexOf(node))
-            val behaviour = PlatformWorkerBehaviour("i-${node.vm}", WORKER_SLOTS, WORK_MS)
-            workers[node] =
-                SpoilingWorkerServer(node.workerPort, node.service, behaviour) { drawAnswerFault(random, spoilt.getValue(node).share) }
-            val heartbeats = PlatformHeartbeats("http://127.0.0.1:${node.heartbeatPort}", behaviour, node.service)
-            heartbeats.also { it.start("127.0.0.1:${node.workerPort}") }
-        }
-
     private fun drawAnswerFault(random: Random, share: Double): AnswerFault? =
         if (random.nextDouble() < share) AnswerFault.entries[random.nextInt(AnswerFault.entries.size)] else null
 
@@ -103,8 +96,6 @@
 
     private companion object {
         const val CALLERS_PER_VM = 3
-        const val WORKER_SLOTS = 20
-        const val WORK_MS = 20L
 
         /** Time after the end of all faults until which requests are served again. */
         const val RECOVERY_SECONDS = 15L
--- a/emulator/src/test/kotlin/org/endivestep/emulator/SoakSchedule.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/SoakSchedule.kt
@@ -20,6 +20,7 @@
     ANSWERS(listOf(FaultKind.ANSWERS_SPOILT)),
     CONFIGURATION(listOf(FaultKind.CONFIGURATION_CHANGED)),
     RESTORES(listOf(FaultKind.STORE_RESTORED)),
+    WORKERS(listOf(FaultKind.WORKER_CRASHED, FaultKind.WORKER_NOT_READING)),
 }
 
 internal enum class FaultKind {
@@ -51,6 +52,12 @@
     /** One worker spoils a share of its answers. */
     ANSWERS_SPOILT,
     CONFIGURATION_CHANGED,
+
+    /** One worker ends with all of its connections, and comes back under its id or another one. */
+    WORKER_CRASHED,
+
+    /** One worker reads nothing from its connections. */
+    WORKER_NOT_READING,
 }
 
 /**
@@ -75,18 +82,22 @@
         private const val SERIES_SHARE = 0.6
         private const val VM_COUNT = 4
         private const val MAX_RESTORES = 2
+        private val drawnApart = setOf(FaultSeries.RESTORES, FaultSeries.WORKERS)
 
         /** Draws the faults of the run [seed], which begin within [lengthMs]. */
         fun draw(seed: Long, lengthMs: Long): SoakSchedule {
             val random = Random(seed)
-            val drawn = (FaultSeries.entries - FaultSeries.RESTORES).associateWith { drawSeries(it, Random(random.nextLong()), lengthMs) }
+            val drawn = (FaultSeries.entries - drawnApart).associateWith { drawSeries(it, Random(random.nextLong()), lengthMs) }
             val chosen = drawn.keys.filter { random.nextDouble() < SERIES_SHARE } + FaultSeries.ANSWERS + FaultSeries.CONFIGURATION
-            return SoakSchedule(drawn.filterKeys { it in chosen } + (FaultSeries.RESTORES to drawRestores(seed, lengthMs)))
+            return SoakSchedule(drawn.filterKeys { it in chosen } + drawApart(seed, lengthMs))
         }
 
         // Drawn apart, so that a seed keeps the faults of the other series.
-        private fun drawRestores(seed: Long, lengthMs: Long): List<SoakFault> =
-            drawSeries(FaultSeries.RESTORES, Random(seed.inv()), lengthMs).take(MAX_RESTORES)
+        private fun drawApart(seed: Long, lengthMs: Long): Map<FaultSeries, List<SoakFault>> =
+            mapOf(
+                FaultSeries.RESTORES to drawSeries(FaultSeries.RESTORES, Random(seed.inv()), lengthMs).take(MAX_RESTORES),
+                FaultSeries.WORKERS to drawSeries(FaultSeries.WORKERS, Random(seed.inv() - 1), lengthMs),
+            )
 
         private fun drawSeries(series: FaultSeries, random: Random, lengthMs: Long): List<SoakFault> {
             val faults = mutableListOf<SoakFault>()
