Move the sending of a streamed body into a class of its own, and make the linter clean

NettyWorkerCallTest, EarlyAnswerTest, CutAnswerTest, StrayAnswerTest and RepeatedRequestIdTest pass; nothing else changes.

--- a/endivestep/src/main/kotlin/org/endivestep/http/HttpConnection.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/http/HttpConnection.kt
@@ -5,7 +5,6 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
-import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultLastHttpContent
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpMethod
@@ -21,7 +20,6 @@
 import org.endivestep.outcome.AnswerHead
 import org.endivestep.outcome.HeaderField
 import java.io.IOException
-import java.io.InputStream
 import java.util.concurrent.Callable
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
@@ -120,7 +118,7 @@
             is RequestBody.Inline -> channel.eventLoop().execute { if (isStillNeeded()) write(head, body) else skip() }
             is RequestBody.Streamed -> {
                 val started = channel.eventLoop().submit(Callable { start(head).also { channel.flush() } })
-                if (started.await().now == true) sendWithin(bodyTimeoutMs, body)
+                if (started.await().now == true) BodyUpload(channel, body).send(bodyTimeoutMs)
             }
         }
     }
@@ -151,40 +149,6 @@
         if (!written.isSuccess) events.add(HttpResponseEvent.Failed("could not write the request: ${written.cause()}", requestSent = true))
     }
 
-    private fun sendWithin(timeoutMs: Long, body: RequestBody.Streamed) {
-        val stream = body.open()
-        val timeout = channel.eventLoop().schedule({ abandon(stream) }, timeoutMs, TimeUnit.MILLISECONDS)
-        try {
-            sendStream(stream, body)
-        } finally {
-            timeout.cancel(false)
-        }
-    }
-
-    // Closing both ends wakes the thread that sends the body, whichever of them it waits for.
-    private fun abandon(stream: InputStream) {
-        channel.close()
-        stream.close()
-    }
-
-    private fun sendStream(stream: InputStream, body: RequestBody.Streamed) {
-        val buffer = ByteArray(CHUNK_BYTES)
-        var length = 0L
-        while (channel.isActive) {
-            val count = stream.read(buffer)
-            if (count < 0) break
-            length += count
-            // The peer would read bytes beyond the stated length as another request.
-            if (body.length in 0 until length) throw IOException("request body is longer than its stated ${body.length} bytes")
-            val written = channel.writeAndFlush(DefaultHttpContent(Unpooled.copiedBuffer(buffer, 0, count))).await()
-            if (!written.isSuccess) channel.close()
-        }
-        if (!channel.isActive) return
-        // The peer would read the next request as the rest of the body.
-        if (length < body.length) throw IOException("request body has $length of its stated ${body.length} bytes")
-        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-    }
-
     /** Waits for the next event of the response. */
     fun next(timeoutMs: Long): HttpResponseEvent {
         val event = events.poll(timeoutMs.coerceAtLeast(0), TimeUnit.MILLISECONDS) ?: return HttpResponseEvent.TimedOut
@@ -291,7 +255,6 @@
     }
 
     private companion object {
-        const val CHUNK_BYTES = 16_384
         const val HIGH_WATERMARK_BYTES = 262_144
         const val LOW_WATERMARK_BYTES = 65_536
         const val FIRST_FINAL_STATUS = 200
--- a/endivestep/src/test/kotlin/org/endivestep/egress/LateDeathTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/egress/LateDeathTest.kt
@@ -10,7 +10,7 @@
 private const val LOST_AT_MS = 100L
 
 /** [InFlightRequests] with a clock; a request's name is its attempt and its fingerprint. */
-private class Requests {
+private class TrackedRequests {
     private var nowMs = 0L
     private val requests = InFlightRequests(RETENTION_MS) { nowMs }
 
@@ -35,7 +35,7 @@
     FunSpec({
         // Guards against a death that nobody is suspected of, because it is noticed only when the next run announces itself.
         test("a request whose connection was lost is suspected until the worker answers one that began later") {
-            class Case(val name: String, val suspects: List<String>, val steps: Requests.() -> Unit)
+            class Case(val name: String, val suspects: List<String>, val steps: TrackedRequests.() -> Unit)
             listOf(
                 Case("noticed at once", listOf("lost", "earlier")) { },
                 Case("noticed by the next run", listOf("lost", "earlier")) { at(5_000) },
@@ -66,7 +66,7 @@
                     begin("later")
                 },
             ).forEach { case ->
-                val requests = Requests()
+                val requests = TrackedRequests()
                 requests.begin("lost")
                 requests.begin("earlier")
                 requests.at(LOST_AT_MS)
