Don't fail at a death when an entry is already gone

An entry can be evicted or expired by the time its death has been recorded (a full table, a quarantine of 0 ms); recording it then threw, on the thread that ends the request. Read in the code, not seen.

--- a/endivestep/src/main/kotlin/org/endivestep/quarantine/Quarantine.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/quarantine/Quarantine.kt
@@ -70,7 +70,7 @@
         val unexplained = others.isNotEmpty() && suspects.none { suspicionLevel(it) == SuspicionLevel.QUARANTINED }
         val repeated = if (unexplained) answered.filter { !exempt(it, worker) } else emptyList()
         repeated.forEach { suspect(it, exemptDeaths.remove(it).orEmpty() + worker, lone = false) }
-        return (suspects + repeated).map { toSuspicionEntry(it, checkNotNull(entries[it])) }
+        return (suspects + repeated).mapNotNull(::suspicion)
     }
 
     private fun suspect(fingerprint: Fingerprint, deaths: Set<WorkerRunId>, lone: Boolean) {
