Leave the host out of the own interface's fingerprints

A claim compares fingerprints, so the resend looked like another request with the same key. Change: the host is part of the origin only where it selects the route. The platform's path is as before.

--- a/endivestep/src/main/kotlin/org/endivestep/ingress/IncomingCall.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/IncomingCall.kt
@@ -116,6 +116,7 @@
 }
 
 private fun fingerprint(service: String, request: Request, key: String?, body: RequestBody): Fingerprint {
-    val origin = RequestOrigin(service, request.header("Host").orEmpty().lowercase(), callerService = "", key.orEmpty())
+    // A caller names the service in a header; the host is the daemon that it happens to call.
+    val origin = RequestOrigin(service, host = "", callerService = "", key.orEmpty())
     return requestFingerprint(request.method.name, request.uri.toString(), body, origin)
 }
