--- a/emulator/src/main/kotlin/org/endivestep/emulator/SpoilingWorkerServer.kt
+++ b/emulator/src/main/kotlin/org/endivestep/emulator/SpoilingWorkerServer.kt
@@ -29,6 +29,9 @@
     /** Whether the worker crashed before it had answered. */
     @Volatile
     var wasInterrupted = false
+
+    /** Whether the worker itself may have kept the caller from the answer. */
+    val isSpoilt: Boolean get() = fault != null || followsCopy || wasInterrupted
 }
 
 /**
--- a/emulator/src/test/kotlin/org/endivestep/emulator/SoakRules.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/SoakRules.kt
@@ -67,7 +67,7 @@
         if (!history.isStopping(request.endNanos, GRACE_NANOS + SECOND_NANOS)) return null
         if (history.disturbances.any { !it.isPlanned && !it.affectsStore && it.overlaps(fromNanos, request.endNanos) }) return null
         val ownRuns = runsOf(request)
-        if (ownRuns.any { it.fault != null || it.followsCopy || it.wasInterrupted }) return null
+        if (ownRuns.any { it.isSpoilt }) return null
         val elapsedNanos = request.endNanos - request.sentNanos
         val slackNanos = LOSS_SLACK_NANOS + history.stalledNanos(request.sentNanos, request.endNanos)
         val ending = request.ending
