Bound the work that a worker's answer in tiny chunks may cost

Seen by callers: while a faulty worker answered 24 requests in chunks of one byte without end, other requests to it got 502 after 1.5 s.

Cause: each chunk was an event of its own, a message to the other daemon and a buffer of 16 KiB, and one read decoded up to 1 MiB of chunks on the event loop that all connections share. Other daemons' calls waited there for more than the 1 s after which an attempt counts as not admitted and the 0.5 s of its fence, and ended as connection-lost. Bytes were bounded, events were not.

Ruled out: memory (every body is queued within a bound, no daemon ended), and the worker's own slowness: with the decoding bounded the same worker serves the others.

--- a/emulator/src/test/kotlin/org/endivestep/emulator/PlatformFleet.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/PlatformFleet.kt
@@ -53,6 +53,14 @@
         nodes.forEach(::startWorker)
     }
 
+    /** Starts the store and the daemons without their workers, and writes [configuration]; returns when all daemons are ready. */
+    fun startDaemons(configuration: String) {
+        startStore()
+        nodes.forEach(::startDaemon)
+        write("config", "main", configuration)
+        awaitCondition("all daemons are ready") { nodes.all(::isReady) }
+    }
+
     fun startStore() {
         processes +=
             startProcess("org.endivestep.emulator.MainKt", listOf("platform-store", "--port", "$storePort"), File(directory, "store.log"))
@@ -166,6 +174,7 @@
                 "bind.control" to "127.0.0.1:${node.heartbeatPort}",
                 "service" to node.service,
                 "app_addr" to "127.0.0.1:${node.workerPort}",
+                "heartbeat_s" to "1.5",
                 "platform.address" to "${network.storeHost}:$storePort",
             )
         val zones = nodes.map { it.dataCentre }.distinct().associateWith { "nl-west" }
--- a/endivestep/src/main/kotlin/org/endivestep/http/HttpConnection.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/http/HttpConnection.kt
@@ -1,6 +1,6 @@
 package org.endivestep.http
 
-import io.netty.buffer.ByteBufUtil
+import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
@@ -19,11 +19,11 @@
 import org.endivestep.identity.RequestId
 import org.endivestep.outcome.AnswerHead
 import org.endivestep.outcome.HeaderField
+import java.io.ByteArrayOutputStream
 import java.io.IOException
 import java.util.concurrent.Callable
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
-import java.util.concurrent.atomic.AtomicInteger
 
 /** Matches the idle timeout in seconds that a peer declares in its `Keep-Alive` header. */
 private val keepAliveSeconds = Regex("""timeout\s*=\s*(\d+)""", RegexOption.IGNORE_CASE)
@@ -37,7 +37,6 @@
  */
 internal class HttpConnection(private val channel: Channel) {
     private val events = LinkedBlockingQueue<HttpResponseEvent>()
-    private val queuedBytes = AtomicInteger()
 
     // Discarded in the current exchange; only the event loop changes them after the exchange has begun.
     @Volatile
@@ -58,6 +57,7 @@
     private val decoder = ResponseDecoder { answersHead }
     private val recentRequests = ArrayDeque<RequestId>()
     private var exchanges = 0
+    private val flow = ReadFlow(channel)
 
     /** When the last exchange ended, by [System.nanoTime]. */
     var idleSinceNanos = 0L
@@ -91,7 +91,7 @@
      */
     fun begin(requestId: RequestId?, isExpected: (AnswerHead) -> Boolean): Boolean {
         events.clear()
-        queuedBytes.set(0)
+        flow.begin()
         discardedBytes = 0
         discardedHeads = 0
         this.isExpected = isExpected
@@ -130,6 +130,7 @@
             return false
         }
         answersHead = head.method() == HttpMethod.HEAD
+        flow.beginResponse()
         awaitingResponse = true
         channel.write(head)
         return true
@@ -152,7 +153,7 @@
     /** Waits for the next event of the response. */
     fun next(timeoutMs: Long): HttpResponseEvent {
         val event = events.poll(timeoutMs.coerceAtLeast(0), TimeUnit.MILLISECONDS) ?: return HttpResponseEvent.TimedOut
-        if (event is HttpResponseEvent.Content) onConsumed(event.queuedBytes)
+        if (event is HttpResponseEvent.Content) flow.consumed(event.queuedBytes)
         return event
     }
 
@@ -165,16 +166,9 @@
         channel.close()
     }
 
-    private fun onConsumed(bytes: Int) {
-        val left = queuedBytes.addAndGet(-bytes)
-        if (left < LOW_WATERMARK_BYTES && !channel.config().isAutoRead) channel.config().isAutoRead = true
-    }
-
     private fun deliver(event: HttpResponseEvent) {
         events.add(event)
-        if (event is HttpResponseEvent.Content && queuedBytes.addAndGet(event.queuedBytes) > HIGH_WATERMARK_BYTES) {
-            channel.config().isAutoRead = false
-        }
+        if (event is HttpResponseEvent.Content) flow.queued(event.queuedBytes)
     }
 
     /** Converts messages decoded by the codec to [HttpResponseEvent]s. */
@@ -183,6 +177,9 @@
         private var reusable = false
         private var failure: String? = null
 
+        // Parts of the body that arrived with the current read, so that many short ones cost the reader no more than a long one.
+        private var gathered: ByteArrayOutputStream? = null
+
         override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
             if (failure != null) return
             if (!message.decoderResult().isSuccess) {
@@ -222,15 +219,37 @@
         }
 
         private fun handleContent(content: HttpContent) {
+            val bytes = content.content()
+            if (bytes.isReadable) flow.decoded(bytes.readableBytes())
             if (discarding) {
-                discard(content.content().readableBytes())
+                discard(bytes.readableBytes())
                 return
             }
-            if (content.content().isReadable) deliver(HttpResponseEvent.Content(ByteBufUtil.getBytes(content.content())))
+            gather(bytes)
             if (content is LastHttpContent && failure == null) end()
         }
 
+        private fun gather(bytes: ByteBuf) {
+            val count = bytes.readableBytes()
+            if (count == 0) return
+            val part = gathered ?: ByteArrayOutputStream(count).also { gathered = it }
+            bytes.readBytes(part, count)
+            if (part.size() >= MAX_GATHERED_BYTES) deliverGathered()
+        }
+
+        private fun deliverGathered() {
+            val part = gathered ?: return
+            gathered = null
+            deliver(HttpResponseEvent.Content(part.toByteArray()))
+        }
+
+        override fun channelReadComplete(context: ChannelHandlerContext) {
+            deliverGathered()
+            super.channelReadComplete(context)
+        }
+
         private fun end() {
+            deliverGathered()
             awaitingResponse = false
             val hasSurplus = decoder.undecodedBytes > 0
             deliver(HttpResponseEvent.End(reusable && !hasSurplus))
@@ -249,14 +268,14 @@
         fun fail(cause: String) {
             if (failure != null) return
             failure = cause
+            deliverGathered()
             deliver(HttpResponseEvent.Failed(cause, requestSent = awaitingResponse))
             channel.close()
         }
     }
 
     private companion object {
-        const val HIGH_WATERMARK_BYTES = 262_144
-        const val LOW_WATERMARK_BYTES = 65_536
+        const val MAX_GATHERED_BYTES = 16_384
         const val FIRST_FINAL_STATUS = 200
         const val MAX_DISCARDED_HEADS = 16
         const val MAX_RECENT_REQUESTS = 32
--- a/endivestep/src/main/kotlin/org/endivestep/http/HttpConnectionPool.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/http/HttpConnectionPool.kt
@@ -1,6 +1,7 @@
 package org.endivestep.http
 
 import io.netty.bootstrap.Bootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
@@ -72,6 +73,8 @@
                 .channel(NioSocketChannel::class.java)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
                 .option(ChannelOption.TCP_NODELAY, true)
+                // All chunks of one read are decoded at once, so its size bounds their number.
+                .option(ChannelOption.RCVBUF_ALLOCATOR, AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES))
                 // Tells the end of the peer's output from other ends of the connection; see [InputMonitor].
                 .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .handler(
@@ -97,5 +100,8 @@
     private companion object {
         const val NANOS_PER_MS = 1_000_000L
         const val IDLE_MARGIN_MS = 1_000L
+        const val MIN_READ_BYTES = 64
+        const val FIRST_READ_BYTES = 2_048
+        const val MAX_READ_BYTES = 32_768
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/BodySender.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/BodySender.kt
@@ -1,7 +1,6 @@
 package org.endivestep.protocol
 
 import com.google.protobuf.ByteString
-import com.google.protobuf.UnsafeByteOperations
 import org.endivestep.protocol.v1.BodyChunk
 import org.endivestep.protocol.v1.BodyEnd
 import java.io.IOException
@@ -20,17 +19,15 @@
         val checksum = CRC32C()
         var frames = 0
         var length = 0L
+        val buffer = ByteArray(CHUNK_BYTES)
         while (true) {
-            val bytes = ByteArray(CHUNK_BYTES)
-            val count = stream.read(bytes)
+            val count = stream.read(buffer)
             if (count < 0) break
             if (count == 0) continue
-            checksum.update(bytes, 0, count)
+            checksum.update(buffer, 0, count)
             length += count
-            chunk(BodyChunk.newBuilder().setIndex(frames++).setBytes(wrap(bytes, count)).build())
+            chunk(BodyChunk.newBuilder().setIndex(frames++).setBytes(ByteString.copyFrom(buffer, 0, count)).build())
         }
         end(BodyEnd.newBuilder().setFrames(frames).setLength(length).setChecksum(checksum.value.toInt()).build())
     }
-
-    private fun wrap(bytes: ByteArray, count: Int): ByteString = UnsafeByteOperations.unsafeWrap(bytes, 0, count)
 }
