Send no request to a worker whose answer would come after the end of a planned stop

Seen by callers: an order that came 2.3 s after SIGTERM waited for its worker, was sent 0.6 s later, ran, and lost its connection when the process ended.

Cause: a stopping daemon refused requests by their deadline only after the platform could have noticed it, and only when they came. One that was taken before that could still wait, or be sent to another worker, without any limit from the end of the process.

Ruled out: the wait beside the own worker, which ends with the close of its queue, and connections that are accepted late, which are awaited.

Now the end is known from the signal on. A request that does not end by its deadline before it is sent only while its usual time still fits, waits for admission no longer than that, and is refused as not run otherwise.

--- a/endivestep/src/main/kotlin/org/endivestep/daemon/GracefulShutdown.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/GracefulShutdown.kt
@@ -5,6 +5,7 @@
 import org.endivestep.exchange.monotonicMs
 import org.endivestep.ingress.NettyCallerServer
 import org.endivestep.ingress.RoutedIngress
+import org.endivestep.ingress.StopTime
 import org.endivestep.membership.Gossip
 import org.endivestep.membership.MemberState
 
@@ -18,13 +19,15 @@
     private val egress: Egress,
     private val callers: NettyCallerServer,
     private val inFlight: InFlightRequests,
+    private val stopTime: StopTime,
 ) {
     /** Blocks for at most [timeoutMs]; returns whether all requests in flight ended. */
     fun run(timeoutMs: Long): Boolean {
         val startMs = monotonicMs()
+        val untilMs = startMs + timeoutMs - EXIT_MARGIN_MS
+        stopTime.set(untilMs)
         gossip.updateSelf { it.copy(worker = it.worker?.copy(serving = false)) }
         Thread.sleep(READINESS_NOTICE_MS)
-        val untilMs = startMs + timeoutMs - EXIT_MARGIN_MS
         ingress.endAt(untilMs)
         callers.closeAfterAnswers()
         egress.stop()
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -35,6 +35,7 @@
 import org.endivestep.ingress.Route
 import org.endivestep.ingress.RouteCache
 import org.endivestep.ingress.RoutedIngress
+import org.endivestep.ingress.StopTime
 import org.endivestep.ingress.WeightedChoice
 import org.endivestep.membership.Gossip
 import org.endivestep.membership.GossipAction
@@ -140,12 +141,14 @@
     private val retryDelays = RetryDelays(profiles, random)
     private val estimates = CompletionEstimates(profiles, ::monotonicMs)
     private val locality = Locality(settings.dataCentre, settings.dataCentres[settings.dataCentre].orEmpty())
+    private val stopTime = StopTime(profiles::usualMs)
     private val dispatcher =
         Dispatcher(
             RouteCache(gossip::members, ::document, settings.vm)::routes,
             estimates,
             earliestCompletion(locality, estimates),
             RerouteSettings(MAX_REROUTES, REROUTE_MAX_QUEUE_WAIT_MS),
+            { stopTime.sendWindowMs(it, monotonicMs()) },
             ::attempt,
         )
     private val senders = RecentSenders(::monotonicMs)
@@ -225,7 +228,7 @@
     fun stop(): Boolean {
         stopping = true
         logger.info { "daemon ${settings.vm.text} is leaving" }
-        val drained = GracefulShutdown(gossip, ingress, egress, callers, inFlight).run(settings.bounds.stopTimeoutMs)
+        val drained = GracefulShutdown(gossip, ingress, egress, callers, inFlight, stopTime).run(settings.bounds.stopTimeoutMs)
         logger.info { "daemon ${settings.vm.text} has left; drained: $drained" }
         return drained
     }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
@@ -46,6 +46,8 @@
     private val loads: WorkerLoads,
     private val choose: ChoicePolicy,
     private val rerouting: RerouteSettings = noRerouting,
+    /** Returns the time in ms during which a request may still be sent to a worker, see [StopTime]. */
+    private val sendWindowMs: (IncomingCall) -> Long = { Long.MAX_VALUE },
     private val attempt: AttemptCall,
 ) {
     private val budgets = HashMap<ServiceName, RetryBudget>()
@@ -55,9 +57,11 @@
         val history = AttemptHistory()
         var attemptId = firstAttempt
         while (true) {
+            val windowMs = sendWindowMs(call)
+            if (windowMs <= 0) return history.outcome() ?: AttemptResult.NotRun(NotRunReason.LEAVING)
             val route = chooseRoute(call, history) ?: return history.outcome() ?: AttemptResult.NotRun(NotRunReason.NO_WORKER)
             val startMs = monotonicMs()
-            val result = tryOnce(route, call, attemptId, maxWaitMs(call, history))
+            val result = tryOnce(route, call, attemptId, minOf(maxWaitMs(call, history), windowMs))
             val repliedBefore = history.workerReplied
             history.add(route.candidate.vm, result, monotonicMs() - startMs)
             call.trace = history.trace
--- a/endivestep/src/test/kotlin/org/endivestep/ingress/DispatcherModelTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/ingress/DispatcherModelTest.kt
@@ -57,7 +57,7 @@
         Route(candidate, Peer(Address("127.0.0.1", 1 + it), DaemonIncarnation("1-$it")), isLocal = false)
     }
 
-internal fun sampleCall(idempotent: Boolean): IncomingCall {
+internal fun sampleCall(idempotent: Boolean, deadlineMs: Long = monotonicMs() + 10_000): IncomingCall {
     val service = sampleDocument().services.getValue(ServiceName("bestel"))
     return IncomingCall(
         id = RequestId("request"),
@@ -68,7 +68,7 @@
         headers = emptyList(),
         body = RequestBody.Inline(ByteArray(0)),
         startMs = monotonicMs(),
-        deadline = Deadline(monotonicMs() + 10_000),
+        deadline = Deadline(deadlineMs),
         idempotencyKey = null,
         fingerprint = Fingerprint("print"),
     )
--- a/endivestep/src/test/kotlin/org/endivestep/ingress/StreamedBodyResendTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/ingress/StreamedBodyResendTest.kt
@@ -97,7 +97,7 @@
         }
     }
     val routes = routesOf(WORKERS)
-    val dispatcher = Dispatcher({ routes }, LoadView(::monotonicMs), roundRobin(), RerouteSettings(3, 60), attempt)
+    val dispatcher = Dispatcher({ routes }, LoadView(::monotonicMs), roundRobin(), RerouteSettings(3, 60), attempt = attempt)
     val body = if (case.streamed) RequestBody.Streamed(whole.inputStream(), -1) else RequestBody.Inline(whole)
     dispatcher.dispatch(call(body, case.idempotent), AttemptId("first"))
     return received
