--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -29,7 +29,6 @@
 import org.endivestep.identity.randomId
 import org.endivestep.ingress.Dispatcher
 import org.endivestep.ingress.IncomingCall
-import org.endivestep.ingress.NettyCallerServer
 import org.endivestep.ingress.RerouteSettings
 import org.endivestep.ingress.RetryDelays
 import org.endivestep.ingress.Route
@@ -49,13 +48,10 @@
 import org.endivestep.outcome.AttemptResult
 import org.endivestep.platform.PlatformSettings
 import org.endivestep.platform.healthCall
-import org.endivestep.platform.heartbeatEndpoint
-import org.endivestep.platform.metricsEndpoint
 import org.endivestep.platform.platformAnswerInterpreter
 import org.endivestep.platform.platformHeaders
 import org.endivestep.platform.platformStore
 import org.endivestep.platform.readOperatorDocument
-import org.endivestep.platform.readinessEndpoint
 import org.endivestep.probe.StartupProbe
 import org.endivestep.protocol.AdmissionNotices
 import org.endivestep.protocol.ControlClient
@@ -179,16 +175,13 @@
             innerServices(),
             loops,
         )
-    private val callers = NettyCallerServer(settings.callers, loops, pools.callers, ::callerLimits, ingress::answer, ingress::mayOverlap)
-    private val readiness =
-        NettyCallerServer(settings.readiness, loops, pools.platform, ::callerLimits, readinessEndpoint(::isReady))
-    private val metricsListener =
-        NettyCallerServer(
-            Address(settings.host, settings.metricsPort),
+    private val servers =
+        PlatformServers(
+            settings,
             loops,
-            pools.platform,
+            pools,
             ::callerLimits,
-            metricsEndpoint(metrics::scrape),
+            PlatformHandlers(ingress::answer, ingress::mayOverlap, ::isReady, heartbeatReceiver::receive, metrics::scrape),
         )
     private val startProbe =
         StartupProbe(
@@ -197,17 +190,13 @@
             healthCall(settings, connections, HEALTH_TIMEOUT_MS),
             heartbeatReceiver::receive,
         )
-    private val heartbeatListener =
-        NettyCallerServer(settings.heartbeats, loops, pools.platform, ::callerLimits, heartbeatEndpoint(heartbeatReceiver::receive))
 
     @Volatile
     private var stopping = false
 
     /** Starts all components. Throws [java.io.IOException] if a port is in use. */
     fun start() {
-        heartbeatListener.start()
-        readiness.start()
-        if (settings.metricsPort != 0) metricsListener.start()
+        servers.startForPlatform()
         registerPlatformGauges(metrics, gossip, admission, adoption, crashes, storeDuties)
         metrics.gauge("endivestep.log.lines.left.out", "Lines on requests that were not written, to keep their bound") {
             ingress.logLinesLeftOut
@@ -220,7 +209,7 @@
         admission.onLoad = notices::onLoadChanged
         notices.start()
         startProbe.start()
-        callers.start()
+        servers.callers.start()
         logger.info { "daemon ${settings.vm.text} serves callers at ${settings.callers}" }
     }
 
@@ -228,7 +217,7 @@
     fun stop(): Boolean {
         stopping = true
         logger.info { "daemon ${settings.vm.text} is leaving" }
-        val drained = GracefulShutdown(gossip, ingress, egress, callers, inFlight, stopTime).run(settings.bounds.stopTimeoutMs)
+        val drained = GracefulShutdown(gossip, ingress, egress, servers.callers, inFlight, stopTime).run(settings.bounds.stopTimeoutMs)
         logger.info { "daemon ${settings.vm.text} has left; drained: $drained" }
         return drained
     }
