Bound the memory that the bodies of all callers' requests take together

Seen by callers: 60 uploads of 8 MB at once ended the daemon for lack of heap, and every request on it with it.

Cause: bodies were bounded by connection only. Each took up to 1 MiB in a growing array, a copy of it, and 1 MiB in the queue that the handler reads. A body in chunks of one byte took an object a byte in that queue.

Now a server holds at most 24 MiB of bodies before and while their requests are handled, and refuses further ones with 503 and Retry-After, unread and so not run. Bodies are held in blocks without a copy, and a queue pauses its sender at 256 KiB.

Ruled out: a lower bound by connection alone, which the number of connections undoes.

--- a/endivestep/src/main/kotlin/org/endivestep/ingress/BodyQueue.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/BodyQueue.kt
@@ -3,26 +3,29 @@
 import java.io.IOException
 import java.io.InputStream
 
-/** Request body that is still being received; passes bytes from the connection's event loop to the thread that reads them. */
-internal class BodyQueue : InputStream() {
+/**
+ * Request body that is still being received; passes bytes from the connection's event loop to the thread that reads them.
+ * It begins with the bytes in [queued].
+ */
+internal class BodyQueue(private val queued: ByteBlocks = ByteBlocks()) : InputStream() {
     private val lock = Object()
-    private val chunks = ArrayDeque<ByteArray>()
-    private var position = 0
-    private var queuedBytes = 0
     private var ended = false
     private var failure: String? = null
-    private var paused = false
+    private var paused = queued.size > HIGH_WATERMARK_BYTES
     private var closed = false
+    private var backpressure: (Boolean) -> Unit = { }
 
-    /** Called with true to pause the sender and with false to resume it. */
-    @Volatile
-    var onBackpressure: (Boolean) -> Unit = { }
+    /** Sets the listener that is called with true to pause the sender, at once if it must pause now, and with false to resume it. */
+    fun onBackpressure(listener: (Boolean) -> Unit) =
+        synchronized(lock) {
+            backpressure = listener
+            if (paused) listener(true)
+        }
 
     fun put(bytes: ByteArray, ended: Boolean) =
         synchronized(lock) {
             if (closed) return
-            if (bytes.isNotEmpty()) chunks.addLast(bytes)
-            queuedBytes += bytes.size
+            queued.append(bytes)
             this.ended = this.ended || ended
             updateBackpressure()
             lock.notifyAll()
@@ -38,8 +41,7 @@
     override fun close() =
         synchronized(lock) {
             closed = true
-            chunks.clear()
-            queuedBytes = 0
+            queued.clear()
             updateBackpressure()
             fail("the request body is no longer read")
         }
@@ -51,34 +53,25 @@
 
     override fun read(target: ByteArray, start: Int, count: Int): Int =
         synchronized(lock) {
-            while (chunks.isEmpty()) {
+            if (count == 0) return 0
+            while (queued.size == 0) {
                 failure?.let { throw IOException(it) }
                 if (ended) return -1
                 lock.wait()
             }
-            val chunk = chunks.first()
-            val copied = minOf(count, chunk.size - position)
-            chunk.copyInto(target, start, position, position + copied)
-            position += copied
-            if (position == chunk.size) {
-                chunks.removeFirst()
-                position = 0
-            }
-            queuedBytes -= copied
-            updateBackpressure()
-            copied
+            queued.read(target, start, count).also { updateBackpressure() }
         }
 
     private fun updateBackpressure() {
-        val pause = queuedBytes > if (paused) LOW_WATERMARK_BYTES else HIGH_WATERMARK_BYTES
+        val pause = queued.size > if (paused) LOW_WATERMARK_BYTES else HIGH_WATERMARK_BYTES
         if (pause == paused) return
         paused = pause
-        onBackpressure(pause)
+        backpressure(pause)
     }
 
     private companion object {
         const val BYTE_MASK = 0xff
-        const val HIGH_WATERMARK_BYTES = 1_048_576
-        const val LOW_WATERMARK_BYTES = 262_144
+        const val HIGH_WATERMARK_BYTES = 262_144
+        const val LOW_WATERMARK_BYTES = 65_536
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/CallerConnection.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/CallerConnection.kt
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import org.endivestep.document.CallerLimits
+import org.endivestep.outcome.HeaderField
 import java.util.concurrent.Executor
 import java.util.concurrent.RejectedExecutionException
 
@@ -32,6 +33,7 @@
 internal class CallerConnection(
     private val handlerExecutor: Executor,
     private val limits: () -> CallerLimits,
+    private val bodyMemory: BodyMemory,
     private val isClosing: () -> Boolean,
     private val handler: RequestHandler,
     private val mayOverlap: OverlapRule,
@@ -61,7 +63,7 @@
             else -> {
                 if (HttpUtil.is100ContinueExpected(request)) context.writeAndFlush(continueResponse())
                 val declaredLength = HttpUtil.getContentLength(request, -1L)
-                receiving = ReceivedRequest(request, declaredLength, limits().bodyBytes)
+                receiving = ReceivedRequest(request, declaredLength, limits().bodyBytes, bodyMemory)
             }
         }
     }
@@ -70,6 +72,7 @@
         val request = receiving ?: return
         if (!content.decoderResult().isSuccess) {
             request.fail("request body could not be decoded")
+            request.releaseMemory()
             refuse(context, HttpResponseStatus.BAD_REQUEST)
             return
         }
@@ -79,7 +82,14 @@
         when (request.add(bytes, ended)) {
             ReceivedRequest.BodyProgress.INCOMPLETE -> Unit
             ReceivedRequest.BodyProgress.READY -> enqueue(context, request, isWhole = ended)
-            ReceivedRequest.BodyProgress.TOO_LONG -> refuse(context, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+            ReceivedRequest.BodyProgress.TOO_LONG -> {
+                request.releaseMemory()
+                refuse(context, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+            }
+            ReceivedRequest.BodyProgress.NO_MEMORY -> {
+                request.releaseMemory()
+                refuse(context, HttpResponseStatus.SERVICE_UNAVAILABLE, listOf(retryLater))
+            }
         }
     }
 
@@ -96,9 +106,10 @@
     }
 
     // The answers of requests before the refused one leave first; the bytes behind it cannot be parsed.
-    private fun refuse(context: ChannelHandlerContext, status: HttpResponseStatus) {
+    private fun refuse(context: ChannelHandlerContext, status: HttpResponseStatus, headers: List<HeaderField> = emptyList()) {
         receiving = null
-        pipeline.add(ServedRequest(context.channel(), received = null, { false }) { emptyReply(status.code(), emptyList()) })
+        val reply = { emptyReply(status.code(), headers) }
+        pipeline.add(ServedRequest(context.channel(), received = null, { false }, reply))
         startWaiting(context)
     }
 
@@ -143,6 +154,7 @@
         closesAfterAnswer = bodyIsIncomplete || !isDelimited(response) || pipeline.endsWithFirst(isClosing())
         if (!closesAfterAnswer) return
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        pipeline.all.drop(1).forEach { it.releaseMemory() }
         pipeline.close().drop(1).forEach { it.cancel() }
     }
 
@@ -153,6 +165,7 @@
         val answered = pipeline.first ?: return
         // Nobody reads the rest of a body whose request has been answered.
         if (answered.isFor(pausedBy)) pausedBy = null
+        answered.releaseMemory()
         pipeline.endFirst()?.allowAnswer()
         if (closesAfterAnswer || (isClosing() && isIdle())) {
             written.addListener { context.close() }
@@ -178,6 +191,8 @@
 
     override fun channelInactive(context: ChannelHandlerContext) {
         receiving?.fail("caller closed the connection before the end of the request body")
+        receiving?.releaseMemory()
+        pipeline.all.forEach { it.releaseMemory() }
         pipeline.close().forEach { it.cancel() }
         super.channelInactive(context)
     }
@@ -186,4 +201,9 @@
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         context.close()
     }
+
+    private companion object {
+        // In seconds: about as long as a long body takes to be sent on.
+        val retryLater = HeaderField("Retry-After", "1")
+    }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/NettyCallerServer.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/NettyCallerServer.kt
@@ -34,6 +34,7 @@
     private val mayOverlap: OverlapRule = { false },
 ) {
     private val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
+    private val bodyMemory = BodyMemory(MAX_BODY_MEMORY_BYTES)
     private var listener: Channel? = null
 
     /** Whether connections are closed after their next response. */
@@ -64,7 +65,7 @@
     private fun prepare(channel: SocketChannel) {
         connections.add(channel)
         channel.pipeline().addLast(HttpServerCodec(MAX_LINE_BYTES, limits().headerBytes, MAX_CHUNK_BYTES))
-        channel.pipeline().addLast(CallerConnection(handlerExecutor, limits, { closing }, handler, mayOverlap))
+        channel.pipeline().addLast(CallerConnection(handlerExecutor, limits, bodyMemory, { closing }, handler, mayOverlap))
     }
 
     /** Closes idle connections now, and each other connection when its current exchange has ended. */
@@ -86,6 +87,9 @@
         const val FIRST_READ_BYTES = 2_048
         const val MAX_READ_BYTES = 32_768
         const val MAX_LINE_BYTES = 8_192
+
+        /** Bodies that are buffered before their requests are handled, and while these run. */
+        const val MAX_BODY_MEMORY_BYTES = 25_165_824L
         const val MAX_CHUNK_BYTES = 16_384
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/ReceivedRequest.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/ReceivedRequest.kt
@@ -7,22 +7,27 @@
 import org.endivestep.exchange.RequestBody
 import org.endivestep.exchange.monotonicMs
 import org.endivestep.outcome.HeaderField
-import java.io.ByteArrayOutputStream
 
 /** Largest request body in bytes that is buffered completely before the request is handled. */
 internal const val MAX_BUFFERED_BODY_BYTES = 524_288
 
 /**
- * A request whose body is still being received. [add], [fail] and [onBackpressure] must be called from the
- * event loop of its connection.
+ * A request whose body, of at most [maxBytes], is still being received; what is buffered of it is taken from [memory].
+ * Its methods must be called from the event loop of its connection, except [toRequest].
  */
-internal class ReceivedRequest(private val head: HttpRequest, private val length: Long, private val maxBytes: Long) {
-    enum class BodyProgress { INCOMPLETE, READY, TOO_LONG }
+internal class ReceivedRequest(
+    private val head: HttpRequest,
+    private val length: Long,
+    private val maxBytes: Long,
+    private val memory: BodyMemory,
+) {
+    enum class BodyProgress { INCOMPLETE, READY, TOO_LONG, NO_MEMORY }
 
     private val arrivedMs = monotonicMs()
-    private val buffered = ByteArrayOutputStream()
+    private val buffered = ByteBlocks()
     private var stream: BodyQueue? = null
     private var total = 0L
+    private var takenBytes = 0L
 
     /** Appends the next [bytes]; returns [BodyProgress.READY] once, when the request can be handled. */
     fun add(bytes: ByteArray, ended: Boolean): BodyProgress {
@@ -33,13 +38,21 @@
             current.put(bytes, ended)
             return BodyProgress.INCOMPLETE
         }
-        buffered.write(bytes)
+        if (!memory.tryTake(bytes.size)) return BodyProgress.NO_MEMORY
+        takenBytes += bytes.size
+        buffered.append(bytes)
         if (ended) return BodyProgress.READY
-        if (buffered.size() <= MAX_BUFFERED_BODY_BYTES) return BodyProgress.INCOMPLETE
-        stream = BodyQueue().also { it.put(buffered.toByteArray(), ended = false) }
+        if (buffered.size <= MAX_BUFFERED_BODY_BYTES) return BodyProgress.INCOMPLETE
+        stream = BodyQueue(buffered)
         return BodyProgress.READY
     }
 
+    /** Gives back the memory of the body, when the request has been answered or dropped. */
+    fun releaseMemory() {
+        memory.giveBack(takenBytes)
+        takenBytes = 0
+    }
+
     private fun tooLong(): BodyProgress {
         fail("request body is longer than $maxBytes bytes")
         return BodyProgress.TOO_LONG
@@ -51,11 +64,11 @@
 
     /** Sets the callback that pauses (true) or resumes (false) reading from the caller. */
     fun onBackpressure(pause: (Boolean) -> Unit) {
-        stream?.onBackpressure = pause
+        stream?.onBackpressure(pause)
     }
 
     /** Number of bytes of the body that are held in memory until the request is handled. */
-    val bufferedBytes: Int get() = buffered.size()
+    val bufferedBytes: Int get() = takenBytes.toInt()
 
     val keepsAlive: Boolean get() = HttpUtil.isKeepAlive(head)
 
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/RequestPipeline.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/RequestPipeline.kt
@@ -44,6 +44,9 @@
     /** Whether reading from the caller must pause. A request that is added nevertheless is kept. */
     val isFull: Boolean get() = waiting.size >= limits.maxWaiting || waitingBytes >= limits.maxWaitingBytes
 
+    /** The requests that run, in their order, and those that wait. */
+    val all: List<R> get() = running + waiting
+
     /** The request whose answer is sent next, or null when none runs. */
     val first: R? get() = running.firstOrNull()
 
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/ServedRequest.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/ServedRequest.kt
@@ -54,6 +54,11 @@
     /** Whether this is the request whose body [received] still arrives. */
     fun isFor(received: ReceivedRequest?): Boolean = this.received === received
 
+    /** Gives back the memory of the request's body; to be called from the event loop. */
+    fun releaseMemory() {
+        received?.releaseMemory()
+    }
+
     /** Lets the response be sent, now that it is the next one on the connection. */
     fun allowAnswer() = mayAnswer.countDown()
 
--- a/endivestep/src/test/kotlin/org/endivestep/ingress/NettyCallerServerTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/ingress/NettyCallerServerTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeInRange
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.string.shouldNotContain
@@ -137,6 +138,28 @@
             }
         }
 
+        // Guards against a daemon that ends for lack of memory, because many callers send long bodies at the same time.
+        test("bodies that together take more memory than there is for them are refused unread, and others are served afterwards") {
+            val allowed = CountDownLatch(1)
+            CallerServerFixture({ request ->
+                allowed.await()
+                reply("${bodyOf(request).length}")
+            }).use { server ->
+                val body = "x".repeat(500_000)
+                val upload = "POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: ${body.length}\r\n\r\n$body"
+                // A refused caller may see the end of the connection before the refusal.
+                val answers = ConcurrentLinkedQueue<String>()
+                val callers = (1..100).map { thread { answers += runCatching { server.exchange(upload) }.getOrDefault("ended") } }
+                awaitUntil { answers.size >= 50 }
+                answers.count { "200 OK" in it } shouldBe 0
+                answers.count { "503 Service Unavailable" in it && "Retry-After" in it } shouldBeInRange 1..51
+                allowed.countDown()
+                callers.forEach { it.join() }
+                answers.count { "200 OK" in it } shouldBeInRange 49..50
+                server.exchange(upload) shouldContain "200 OK"
+            }
+        }
+
         test("requests behind one that ends the connection are not run") {
             class Case(val name: String, val first: String)
             listOf(
