Allow a request line as long as the heads that the configuration allows

Seen by callers: a request line of over 8,192 bytes got 400, although the configuration allows heads of 16,384. The bound of the line was a constant of the server. It is the configured one now. The new case was seen red before (400 in place of 200 at 8 KiB).

--- a/endivestep/src/main/kotlin/org/endivestep/ingress/NettyCallerServer.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/NettyCallerServer.kt
@@ -64,7 +64,7 @@
 
     private fun prepare(channel: SocketChannel) {
         connections.add(channel)
-        channel.pipeline().addLast(HttpServerCodec(MAX_LINE_BYTES, limits().headerBytes, MAX_CHUNK_BYTES))
+        channel.pipeline().addLast(HttpServerCodec(limits().headerBytes, limits().headerBytes, MAX_CHUNK_BYTES))
         channel.pipeline().addLast(CallerConnection(handlerExecutor, limits, bodyMemory, { closing }, handler, mayOverlap))
     }
 
@@ -86,7 +86,6 @@
         const val MIN_READ_BYTES = 64
         const val FIRST_READ_BYTES = 2_048
         const val MAX_READ_BYTES = 32_768
-        const val MAX_LINE_BYTES = 8_192
 
         /** Bodies that are buffered before their requests are handled, and while these run. */
         const val MAX_BODY_MEMORY_BYTES = 25_165_824L
--- a/endivestep/src/test/kotlin/org/endivestep/ingress/NettyCallerServerTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/ingress/NettyCallerServerTest.kt
@@ -138,6 +138,23 @@
             }
         }
 
+        // Guards against requests that the configuration allows and that are refused for the length of their first line.
+        test("a request line may be as long as the heads that the configuration allows") {
+            class Case(val name: String, val pathLength: Int, val status: String)
+            listOf(
+                Case("usual", 100, "200 OK"),
+                Case("8 KiB", 8_192, "200 OK"),
+                Case("just within the limit", 16_000, "200 OK"),
+                Case("over the limit", 17_000, "400 Bad Request"),
+            ).forEach { case ->
+                CallerServerFixture({ reply("${it.target.length}") }, CallerLimits(headerBytes = 16_384)).use { server ->
+                    val path = "/" + "a".repeat(case.pathLength - 1)
+                    val answer = server.exchange("GET $path HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+                    withClue(case.name) { answer shouldContain case.status }
+                }
+            }
+        }
+
         // Guards against a daemon that ends for lack of memory, because many callers send long bodies at the same time.
         test("bodies that together take more memory than there is for them are refused unread, and others are served afterwards") {
             val allowed = CountDownLatch(1)
