Give up an answer that its caller does not read for the idle time of the connection

A caller that read nothing of a long answer held its thread, and its request's place at the worker, until it closed the connection: the write to it had no time limit. It is the configured idle time now. The new test was seen red before (the answer was never closed).

--- a/endivestep/src/main/kotlin/org/endivestep/ingress/CallerConnection.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/CallerConnection.kt
@@ -101,7 +101,7 @@
             }
         }
         val overlap = if (isWhole) mayOverlap else { _ -> false }
-        pipeline.add(ServedRequest(context.channel(), request, overlap) { handler(request.toRequest()) })
+        pipeline.add(ServedRequest(context.channel(), request, overlap, limits().idleTimeoutMs) { handler(request.toRequest()) })
         startWaiting(context)
     }
 
@@ -109,7 +109,7 @@
     private fun refuse(context: ChannelHandlerContext, status: HttpResponseStatus, headers: List<HeaderField> = emptyList()) {
         receiving = null
         val reply = { emptyReply(status.code(), headers) }
-        pipeline.add(ServedRequest(context.channel(), received = null, { false }, reply))
+        pipeline.add(ServedRequest(context.channel(), received = null, { false }, limits().idleTimeoutMs, reply))
         startWaiting(context)
     }
 
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/ServedRequest.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/ServedRequest.kt
@@ -18,6 +18,7 @@
 import org.endivestep.exchange.readWhole
 import java.io.IOException
 import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 
 private val logger = KotlinLogging.logger {}
 
@@ -38,6 +39,8 @@
     private val channel: Channel,
     private val received: ReceivedRequest?,
     private val overlapRule: OverlapRule,
+    /** Time in ms in which the caller must read a part of the answer. */
+    private val writeTimeoutMs: Long,
     private val answer: () -> CallerReply,
 ) : Runnable,
     PipelinedRequest {
@@ -157,7 +160,7 @@
     }
 
     private fun await(written: ChannelFuture) {
-        written.await()
+        if (!written.await(writeTimeoutMs, TimeUnit.MILLISECONDS)) throw IOException("the caller read nothing for $writeTimeoutMs ms")
         if (!written.isSuccess) throw IOException("could not write the response to the caller", written.cause())
     }
 
--- a/endivestep/src/test/kotlin/org/endivestep/ingress/NettyCallerServerTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/ingress/NettyCallerServerTest.kt
@@ -233,6 +233,25 @@
             }
         }
 
+        // Guards against a thread, and an answer at its worker, that a caller holds for good by reading nothing.
+        test("an answer that its caller does not read is given up after the idle time of the connection") {
+            val closed = CountDownLatch(1)
+            val endless =
+                object : InputStream() {
+                    override fun read(): Int = 'x'.code
+
+                    override fun read(target: ByteArray, start: Int, count: Int): Int = count
+
+                    override fun close() = closed.countDown()
+                }
+            CallerServerFixture({ CallerReply(200, emptyList(), endless, null) }, CallerLimits(idleTimeoutMs = 300)).use { server ->
+                server.connect().use { socket ->
+                    socket.getOutputStream().write("$GET\r\n".toByteArray())
+                    closed.await(3, TimeUnit.SECONDS) shouldBe true
+                }
+            }
+        }
+
         test("a caller that disconnects interrupts all of its pipelined requests") {
             val began = CountDownLatch(3)
             val interrupted = CountDownLatch(3)
