Use a later run of a worker whose earlier run left without telling its start

Seen by callers: none of their requests reach a worker that has started again under its id, if the daemon had started in between and the first that it heard was a DELETE without a body. The registry took an unknown start for the same run, and the later run for leaving.

Which run has left is not known then, but it had started by the time of the message, by the clock of the VM that both share. A run of that id that started later is another one; a late heartbeat of the one that left is ignored. The new cases don't compile on the code before.

--- a/endivestep/src/main/kotlin/org/endivestep/daemon/HeartbeatReceiver.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/HeartbeatReceiver.kt
@@ -18,7 +18,7 @@
     private val workers: WorkerRegistry,
     private val supervisor: WorkerSupervisor,
 ) {
-    private val heartbeatFilter = HeartbeatFilter()
+    private val heartbeatFilter = HeartbeatFilter(System::currentTimeMillis)
 
     /** Handles [heartbeat]; null stands for one that could not be parsed. Outdated and repeated heartbeats are ignored. */
     @Synchronized
--- a/endivestep/src/main/kotlin/org/endivestep/egress/WorkerHeartbeat.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/WorkerHeartbeat.kt
@@ -22,19 +22,26 @@
 
 /**
  * Filters out stale heartbeats: a heartbeat may arrive after a later one of the same run, or after another
- * run has started at the same address. A pure state machine. Not thread-safe.
+ * run has started at the same address. A pure state machine; [clockMs] is the wall clock of the worker's VM. Not thread-safe.
  */
-internal class HeartbeatFilter {
+internal class HeartbeatFilter(private val clockMs: () -> Long) {
     private var latest: WorkerHeartbeat? = null
+    private var latestAtMs = 0L
 
     fun isNewer(heartbeat: WorkerHeartbeat): Boolean {
         val known = latest
         val newer = known == null || heartbeat.isAfter(known)
-        if (newer) latest = heartbeat
+        if (newer) {
+            latest = heartbeat
+            latestAtMs = clockMs()
+        }
         return newer
     }
 
     private fun WorkerHeartbeat.isAfter(known: WorkerHeartbeat): Boolean {
+        // Which run of the id left is not known, but it had started by then.
+        val leftUnknownRun = known.service == null && known.startedMs == UNKNOWN_START_MS
+        if (leftUnknownRun && incarnation == known.incarnation) return startedMs > latestAtMs
         val sameRun = incarnation == known.incarnation && (startedMs == known.startedMs || startedMs == 0L)
         if (sameRun) return sequence > known.sequence
         // A heartbeat that only announces leaving may lack its start time; with another incarnation, it does not concern the known run.
--- a/endivestep/src/main/kotlin/org/endivestep/egress/WorkerRegistry.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/WorkerRegistry.kt
@@ -60,7 +60,7 @@
         val phase = if (announcement.leaving) WorkerPhase.LEAVING else WorkerPhase.SERVING
         val same = before != null && before.announcement.isSameRunAs(announcement)
         // A worker that has announced that it is leaving never serves again in the same run.
-        if (same && before?.phase == WorkerPhase.LEAVING) return AnnouncementEffect.Unchanged
+        if (same && before?.phase == WorkerPhase.LEAVING && !isLaterRun(before, announcement)) return AnnouncementEffect.Unchanged
         if (same && before?.phase == phase && before.announcement == announcement) return AnnouncementEffect.Unchanged
         val after = LocalWorker(announcement, phase)
         worker = after
@@ -71,6 +71,10 @@
         }
     }
 
+    // Heartbeats of the run that left are older than its leave message, so a start that is told only now is that of a later run.
+    private fun isLaterRun(left: LocalWorker, announcement: Announcement): Boolean =
+        left.announcement.startedMs == UNKNOWN_START_MS && announcement.startedMs != UNKNOWN_START_MS
+
     /** Records that the run [died]; returns the worker as it was before, or null if another run has started or the death is known. */
     @Synchronized
     fun markDead(died: LocalWorker): LocalWorker? {
--- a/endivestep/src/test/kotlin/org/endivestep/egress/HeartbeatFilterTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/egress/HeartbeatFilterTest.kt
@@ -6,6 +6,8 @@
 import org.endivestep.identity.ServiceName
 import org.endivestep.identity.WorkerIncarnation
 
+private const val NOW_MS = 1_000L
+
 private fun heartbeat(id: String, startedMs: Long, sequence: Long, leaves: Boolean = false) =
     WorkerHeartbeat(
         incarnation = WorkerIncarnation(id),
@@ -32,8 +34,32 @@
                 Case("its leave message", heartbeat("a", 10, 9), heartbeat("a", 0, 0, leaves = true), true),
                 Case("the leave message of another worker", heartbeat("b", 20, 1), heartbeat("a", 0, 0, leaves = true), false),
                 Case("a heartbeat after its leave message", heartbeat("a", 10, 0, leaves = true), heartbeat("a", 10, 10), false),
+                Case(
+                    "a late heartbeat after a leave message without a start",
+                    heartbeat("a", 0, 0, leaves = true),
+                    heartbeat("a", 10, 9),
+                    false,
+                ),
+                Case(
+                    "a later run after a leave message without a start",
+                    heartbeat("a", 0, 0, leaves = true),
+                    heartbeat("a", 1_001, 1),
+                    true,
+                ),
+                Case(
+                    "another worker after a leave message without a start",
+                    heartbeat("a", 0, 0, leaves = true),
+                    heartbeat("b", 10, 1),
+                    true,
+                ),
+                Case(
+                    "the leave message of a later run",
+                    heartbeat("a", 0, 0, leaves = true),
+                    heartbeat("a", 1_001, 0, leaves = true),
+                    true,
+                ),
             ).forEach { case ->
-                val filter = HeartbeatFilter()
+                val filter = HeartbeatFilter { NOW_MS }
                 filter.isNewer(case.first) shouldBe true
                 withClue(case.name) { filter.isNewer(case.second) shouldBe case.isNewer }
             }
