Believe a first heartbeat after the daemon's start only when something confirms it

The restart loses what the daemon had acknowledged, and nothing told the late heartbeat from a new one.

Weighed: asking the peers, which know the VM's worker by id but not its run.

--- a/endivestep/src/main/kotlin/org/endivestep/daemon/HeartbeatReceiver.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/HeartbeatReceiver.kt
@@ -2,6 +2,7 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.endivestep.egress.Announcement
+import org.endivestep.egress.FirstHeartbeats
 import org.endivestep.egress.HeartbeatFilter
 import org.endivestep.egress.WorkerCapacity
 import org.endivestep.egress.WorkerHeartbeat
@@ -19,6 +20,7 @@
     private val supervisor: WorkerSupervisor,
 ) {
     private val heartbeatFilter = HeartbeatFilter(System::currentTimeMillis)
+    private val firstHeartbeats = FirstHeartbeats()
 
     /** Handles [heartbeat]; null stands for one that could not be parsed. Outdated and repeated heartbeats are ignored. */
     @Synchronized
@@ -33,6 +35,10 @@
         }
         val isNew = heartbeatFilter.isNewer(heartbeat)
         if (!isNew) return
+        if (workers.worker == null && !firstHeartbeats.confirms(heartbeat)) {
+            logger.info { "waiting for a confirmation of worker ${heartbeat.incarnation.text}: its first heartbeat may be late" }
+            return
+        }
         val known = workers.worker?.announcement
         val slots = if (heartbeat.service == null) known?.capacity?.slots ?: 0 else heartbeat.slots
         val startedMs = if (heartbeat.startedMs == 0L) known?.capacity?.startedMs ?: 0 else heartbeat.startedMs
