Treat a worker as cold when its last heartbeat is too old to tell

A daemon that was paused for seconds took its worker for as warm as the heartbeat from before the pause said, and could send it a burst while it was cold. A report is now valid for three intervals of the heartbeats, which the settings tell; after that the worker counts as cold until the next one. Weighed: a timer that notices the pause, which costs wake-ups and takes a lack of processor time for a pause. What remains: a pause shorter than that, and a suspension that the steady clock does not count. The new cases of ColdPeriodTest don't compile on the code before.

--- a/endivestep/src/main/kotlin/org/endivestep/admission/AdmissionQueue.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/admission/AdmissionQueue.kt
@@ -84,8 +84,15 @@
 
     fun makeCold() = lock.withLock { limit.makeCold() }
 
-    /** Treats the worker as cold for [durationMs] and admits at most [perSecond] requests per second during that time. */
-    fun coldFor(durationMs: Long, perSecond: Double) = lock.withLock { coldRateLimiter.limitUntil(clockMs() + durationMs, perSecond) }
+    /**
+     * Treats the worker as cold for [durationMs], and again when [validMs] have passed without another call, and admits at most
+     * [perSecond] requests per second while it is cold.
+     */
+    fun coldFor(durationMs: Long, perSecond: Double, validMs: Long = ALWAYS_VALID_MS) =
+        lock.withLock {
+            val nowMs = clockMs()
+            coldRateLimiter.limitUntil(nowMs + durationMs, perSecond, unknownAfterMs = nowMs + validMs)
+        }
 
     /** Refuses all queued and future requests with [reason], until [open] is called. */
     fun close(reason: NotRunReason) =
@@ -200,8 +207,11 @@
         return Admission.Admitted(permit)
     }
 
-    private companion object {
+    companion object {
+        /** Time in ms, longer than any worker runs, for which a call of [coldFor] is valid that no other one follows. */
+        const val ALWAYS_VALID_MS = Long.MAX_VALUE / 4
+
         /** Share of the limit that requests with large answers may take at the same time. */
-        const val LARGE_ANSWER_SHARE = 0.75
+        private const val LARGE_ANSWER_SHARE = 0.75
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/admission/ColdRateLimiter.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/admission/ColdRateLimiter.kt
@@ -11,23 +11,29 @@
     private val unknownUntilMs = startedMs + WINDOW_MS
     private val sentMs = ArrayDeque<Long>()
     private var coldUntilMs = 0L
+    private var unknownAfterMs = Long.MAX_VALUE
     private var maxPerWindow = Int.MAX_VALUE
 
-    /** Treats the worker as cold until [untilMs], with a capacity of [perSecond] requests per second. */
-    fun limitUntil(untilMs: Long, perSecond: Double) {
+    /**
+     * Treats the worker as cold until [untilMs], with a capacity of [perSecond] requests per second, and from [unknownAfterMs] on,
+     * when too much time has passed to know.
+     */
+    fun limitUntil(untilMs: Long, perSecond: Double, unknownAfterMs: Long = Long.MAX_VALUE) {
         coldUntilMs = untilMs
+        this.unknownAfterMs = unknownAfterMs
         maxPerWindow = perSecond.toInt().coerceAtLeast(1)
     }
 
-    fun isCold(nowMs: Long): Boolean = nowMs < coldUntilMs
+    fun isCold(nowMs: Long): Boolean = nowMs < coldUntilMs || nowMs >= unknownAfterMs
 
     /** Returns the time until a request may be sent, 0 when it may be sent now. */
     fun delayMs(nowMs: Long): Long {
         if (!isCold(nowMs)) return 0
-        if (nowMs < unknownUntilMs) return minOf(unknownUntilMs, coldUntilMs) - nowMs
+        val warmAtMs = if (nowMs >= unknownAfterMs) Long.MAX_VALUE else coldUntilMs
+        if (nowMs < unknownUntilMs) return minOf(unknownUntilMs, warmAtMs) - nowMs
         dropOld(nowMs)
         if (sentMs.size < maxPerWindow) return 0
-        return minOf(sentMs[sentMs.size - maxPerWindow] + WINDOW_MS, coldUntilMs) - nowMs
+        return minOf(sentMs[sentMs.size - maxPerWindow] + WINDOW_MS, warmAtMs) - nowMs
     }
 
     fun recordSent(nowMs: Long) {
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -128,7 +128,8 @@
             adoption.position
         }
     private val gossip: Gossip = Gossip(protocol, GossipCodec(security), udpSocket(), ::monotonicMs, ::handleGossipAction)
-    private val supervisor: WorkerSupervisor = WorkerSupervisor(workers, admission, crashes, inFlight, gossip, ::document)
+    private val supervisor: WorkerSupervisor =
+        WorkerSupervisor(workers, admission, crashes, inFlight, gossip, ::document, settings.heartbeatIntervalMs * VALID_HEARTBEATS)
     private val applier: ConfigurationApplier =
         ConfigurationApplier(settings.dataCentre, overrides, quarantine, supervisor, admission, gossip)
     private val fetcher = ConfigurationFetcher(adoption, control::fetchConfiguration, adoption::offerAndLog)
@@ -288,5 +289,8 @@
 
         const val MAX_REROUTES = 3
         const val REROUTE_MAX_QUEUE_WAIT_MS = 60L
+
+        // One heartbeat may be lost or late without harm.
+        const val VALID_HEARTBEATS = 3
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/WorkerSupervisor.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/WorkerSupervisor.kt
@@ -29,8 +29,10 @@
     private val inFlight: InFlightRequests,
     private val gossip: Gossip,
     private val document: () -> Document?,
+    /** Time in ms for which a heartbeat tells whether the worker is cold. */
+    heartbeatValidMs: Long = AdmissionQueue.ALWAYS_VALID_MS,
 ) {
-    private val coldPeriod = ColdPeriod(admission, ::monotonicMs)
+    private val coldPeriod = ColdPeriod(admission, heartbeatValidMs, ::monotonicMs)
 
     /** Applies the limits that [document] gives the worker's service; to be called before requests are served by it. */
     fun configure(document: Document) {
--- a/endivestep/src/test/kotlin/org/endivestep/admission/ColdPeriodTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/admission/ColdPeriodTest.kt
@@ -13,6 +13,7 @@
 private const val SLOTS = 20
 private const val PER_SECOND = 6.0
 private const val COLD_MS = 3_000L
+private const val REPORT_VALID_MS = 4_000L
 
 private fun documentWith(perSecond: Double?): Document {
     val document = sampleDocument()
@@ -43,10 +44,15 @@
                 Case("assumed cold for as long as a worker is, without a report", listOf("document", "assume", "pause"), SLOTS),
                 Case("assumed cold, no rate known", listOf("warm", "assume", "document"), SLOTS),
                 Case("cold time over before the document arrives", listOf("cold", "pause", "document"), SLOTS),
+                // Guards against a daemon that was paused and takes its worker for as warm as before.
+                Case("no report for too long", listOf("document", "warm", "pause", "pause"), PER_SECOND.toInt()),
+                Case("no report for too long, document later", listOf("warm", "pause", "pause", "document"), PER_SECOND.toInt()),
+                Case("no report for too long, then warm", listOf("document", "warm", "pause", "pause", "warm"), SLOTS),
+                Case("no report yet", listOf("document", "pause", "pause"), SLOTS),
             ).forEach { case ->
                 var nowMs = 0L
                 val queue = AdmissionQueue(LimitSettings(SLOTS, SLOTS, 0, 1_000.0, 64, 800)) { nowMs }
-                val period = ColdPeriod(queue) { nowMs }
+                val period = ColdPeriod(queue, REPORT_VALID_MS) { nowMs }
                 // Past the window in which what an earlier run sent is not known.
                 nowMs = 2_000
                 case.events.forEach { event ->
