Forget the slowness of a worker's earlier run when a new one starts

The load that a daemon tells the others names its VM, and its slowness outlived the run that it was measured at, until the first answer of the next one: others sent the new run less. The figures that other daemons hold halve every 400 ms, and are left as they are.

--- a/endivestep/src/main/kotlin/org/endivestep/admission/AdmissionQueue.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/admission/AdmissionQueue.kt
@@ -84,6 +84,13 @@
 
     fun makeCold() = lock.withLock { limit.makeCold() }
 
+    /** Begins with a new run of the worker, of which only its configured limits are known. */
+    fun workerStarted() =
+        lock.withLock {
+            limit.makeCold()
+            slownessPercent = 0
+        }
+
     /**
      * Treats the worker as cold for [durationMs], and again when [validMs] have passed without another call, and admits at most
      * [perSecond] requests per second while it is cold.
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/WorkerSupervisor.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/WorkerSupervisor.kt
@@ -79,7 +79,7 @@
     private fun workerStarted(worker: LocalWorker) {
         logger.info { "worker ${worker.announcement.incarnation.text} of ${worker.announcement.service.text} started" }
         document()?.let(::configure)
-        admission.makeCold()
+        admission.workerStarted()
         publishWorker(worker)
     }
 
