Answer at the deadline before the connection to the other daemon is checked

Seen by callers: a request on a connection that had become unresponsive got its 504 up to 0.6 s after its timeout, because the daemon first waited 0.5 s for a sign of life. The check now runs behind the answer.

--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeClient.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeClient.kt
@@ -1,5 +1,6 @@
 package org.endivestep.protocol
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.grpc.CallOptions
 import io.grpc.ManagedChannel
 import io.grpc.StatusRuntimeException
@@ -17,8 +18,11 @@
 import org.endivestep.protocol.v1.FenceRequest
 import org.endivestep.settings.Address
 import java.util.concurrent.Executor
+import java.util.concurrent.RejectedExecutionException
 import java.util.concurrent.TimeUnit
 
+private val logger = KotlinLogging.logger {}
+
 /** Time in ms without a first frame after which a connection is considered unresponsive. */
 internal const val ADMIT_TIMEOUT_MS = 1_000L
 
@@ -33,7 +37,8 @@
  */
 internal class ExchangeClient(
     private val channels: PeerChannels,
-    private val uploads: Executor,
+    /** Sends long request bodies, and checks connections that did not answer in time. */
+    private val background: Executor,
     private val admitTimeoutMs: Long = ADMIT_TIMEOUT_MS,
 ) {
     /** Runs [request] at [peer]; blocks until the answer begins or the attempt fails. */
@@ -81,7 +86,7 @@
     private fun upload(call: ExchangeCall, request: AttemptRequest) {
         val body = request.body as? RequestBody.Streamed ?: return
         val stream = body.open()
-        uploads.execute { call.upload(stream) }
+        background.execute { call.upload(stream) }
     }
 
     private fun awaitAnswer(
@@ -95,7 +100,7 @@
             is ReceiveResult.Frame -> answerOf(call, request, received.frame)
             ReceiveResult.TimedOut -> {
                 call.cancel("no answer before the deadline")
-                if (!isResponsive(peer, channel)) channels.retire(peer.address, channel)
+                checkConnection(peer, channel)
                 AttemptResult.Unknown(UnknownReason.TIMEOUT)
             }
             else -> {
@@ -161,6 +166,15 @@
         }
     }
 
+    // The caller gets its answer at its deadline, not after the check.
+    private fun checkConnection(peer: Peer, channel: ManagedChannel) {
+        try {
+            background.execute { if (!isResponsive(peer, channel)) channels.retire(peer.address, channel) }
+        } catch (e: RejectedExecutionException) {
+            logger.debug { "not checking the connection to ${peer.address}, no thread is free: $e" }
+        }
+    }
+
     // Fences a nonexistent attempt over [channel], to find out whether the connection still responds.
     private fun isResponsive(peer: Peer, channel: ManagedChannel): Boolean = fence(peer, channel, "liveness", monotonicMs()) != null
 
