Use a run after a while that seems to have started before a leave message without a start

The change to later runs compares a run's start with the time at which a leave message without a start came. If the VM's clock was ahead then, a run that started after it would be ignored for as long as it lives. The comparison now holds for 10 s, within which late heartbeats of the run that left arrive. Found when reading the change; the new test fails without this line by construction of the comparison, and was not run on the code before.

--- a/endivestep/src/main/kotlin/org/endivestep/egress/WorkerHeartbeat.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/WorkerHeartbeat.kt
@@ -39,13 +39,20 @@
     }
 
     private fun WorkerHeartbeat.isAfter(known: WorkerHeartbeat): Boolean {
-        // Which run of the id left is not known, but it had started by then.
         val leftUnknownRun = known.service == null && known.startedMs == UNKNOWN_START_MS
-        if (leftUnknownRun && incarnation == known.incarnation) return startedMs > latestAtMs
+        if (leftUnknownRun && incarnation == known.incarnation) return isAfterUnknownRun()
         val sameRun = incarnation == known.incarnation && (startedMs == known.startedMs || startedMs == 0L)
         if (sameRun) return sequence > known.sequence
         // A heartbeat that only announces leaving may lack its start time; with another incarnation, it does not concern the known run.
         if (service == null) return false
         return startedMs > known.startedMs
     }
+
+    // Which run of the id left is not known, but it had started by then. The clock may have been wrong, so this holds only for a while.
+    private fun WorkerHeartbeat.isAfterUnknownRun() = startedMs > latestAtMs || clockMs() - latestAtMs > MAX_LATENESS_MS
+
+    private companion object {
+        /** Time after which no heartbeat of a run that has left arrives any more. */
+        const val MAX_LATENESS_MS = 10_000L
+    }
 }
--- a/endivestep/src/test/kotlin/org/endivestep/egress/HeartbeatFilterTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/egress/HeartbeatFilterTest.kt
@@ -64,4 +64,14 @@
                 withClue(case.name) { filter.isNewer(case.second) shouldBe case.isNewer }
             }
         }
+
+        // Guards against a worker that is ignored for good, because its VM's clock was ahead when an earlier run of its id left.
+        test("a run that seems to have started before a leave message without a start is used after a while") {
+            var nowMs = NOW_MS
+            val filter = HeartbeatFilter { nowMs }
+            filter.isNewer(heartbeat("a", 0, 0, leaves = true)) shouldBe true
+            filter.isNewer(heartbeat("a", 10, 1)) shouldBe false
+            nowMs += 10_001
+            filter.isNewer(heartbeat("a", 10, 8)) shouldBe true
+        }
     })
