--- a/emulator/src/main/kotlin/org/endivestep/emulator/SpoilingWorkerServer.kt
+++ b/emulator/src/main/kotlin/org/endivestep/emulator/SpoilingWorkerServer.kt
@@ -26,12 +26,12 @@
     /** Whether a second copy of an earlier answer was sent before the answer to this request. */
     val followsCopy: Boolean,
 ) {
-    /** Whether the worker crashed before it had answered. */
+    /** Whether the worker crashed before it had answered, or sent an answer without end. */
     @Volatile
-    var wasInterrupted = false
+    var hasNoWholeAnswer = false
 
     /** Whether the worker itself may have kept the caller from the answer. */
-    val isSpoilt: Boolean get() = fault != null || followsCopy || wasInterrupted
+    val isSpoilt: Boolean get() = fault != null || followsCopy || hasNoWholeAnswer
 }
 
 /**
@@ -57,6 +57,10 @@
     @Volatile
     var readsNothing = false
 
+    /** Whether answers are sent in chunks of one byte without end for now. */
+    @Volatile
+    var answersWithoutEnd = false
+
     init {
         thread(isDaemon = true, name = "worker-${behaviour.id}") { accept() }
     }
@@ -87,6 +91,7 @@
                 val answer = answer(request, followsCopy = late.isNotEmpty())
                 socket.getOutputStream().write(late + answer.bytes)
                 if (answer.fault == AnswerFault.TRUNCATED_BY_RESET) resetOnClose(socket)
+                if (answer.isEndless) sendChunksUntilClosed(socket)
                 if (answer.closes) break
                 late = if (answer.fault == AnswerFault.LATE_COPY) answer.bytes else ByteArray(0)
             }
@@ -110,7 +115,12 @@
         socket.setSoLinger(true, 0)
     }
 
-    private class Answer(val bytes: ByteArray, val fault: AnswerFault? = null) {
+    private fun sendChunksUntilClosed(socket: Socket) {
+        val chunks = "1\r\nz\r\n".repeat(CHUNKS_OF_A_WRITE).toByteArray()
+        while (!listener.isClosed) socket.getOutputStream().write(chunks)
+    }
+
+    private class Answer(val bytes: ByteArray, val fault: AnswerFault? = null, val isEndless: Boolean = false) {
         val closes = fault in closingFaults
     }
 
@@ -142,13 +152,16 @@
         recorded += run
         try {
             Thread.sleep(behaviour.workMs)
-            run.wasInterrupted = listener.isClosed
-            return Answer(spoilt(id, fault), fault)
+            run.hasNoWholeAnswer = listener.isClosed || answersWithoutEnd
+            return if (answersWithoutEnd) Answer(endlessHead(id), isEndless = true) else Answer(spoilt(id, fault), fault)
         } finally {
             running.decrementAndGet()
         }
     }
 
+    private fun endlessHead(id: String) =
+        "HTTP/1.1 200 OK\r\n${echo(id)}X-Server-Stamp: ${AnswerContent.signature(id)}\r\nTransfer-Encoding: chunked\r\n\r\n".toByteArray()
+
     private fun spoilt(id: String, fault: AnswerFault?): ByteArray {
         if (fault == AnswerFault.GARBAGE) return "\u0007\u0007 no answer \u0007\r\n".toByteArray()
         val body = AnswerContent.of(id)
@@ -177,6 +190,7 @@
         // A reset discards what the receiver has not read yet.
         const val RESET_DELAY_MS = 30L
         const val READ_CHECK_MS = 20L
+        const val CHUNKS_OF_A_WRITE = 1_000
         const val HEALTH_PATH = "/health"
         val truncatingFaults = setOf(AnswerFault.TRUNCATED, AnswerFault.TRUNCATED_BY_RESET)
         val closingFaults = truncatingFaults + AnswerFault.GARBAGE
--- a/emulator/src/test/kotlin/org/endivestep/emulator/SoakFaults.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/SoakFaults.kt
@@ -63,6 +63,7 @@
             FaultKind.ANSWERS_SPOILT -> spoil(node, fault)
             FaultKind.WORKER_CRASHED -> workers.getValue(node).crash(fault.durationMs, keepsId = fault.severity < 0.5)
             FaultKind.WORKER_NOT_READING -> workers.getValue(node).stopReading(fault.durationMs)
+            FaultKind.ANSWERS_WITHOUT_END -> workers.getValue(node).answerWithoutEnd(fault.durationMs)
             FaultKind.CONFIGURATION_CHANGED -> configure()
             else -> playOnStore(fault)
         }
--- a/emulator/src/test/kotlin/org/endivestep/emulator/SoakSchedule.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/SoakSchedule.kt
@@ -21,6 +21,7 @@
     CONFIGURATION(listOf(FaultKind.CONFIGURATION_CHANGED)),
     RESTORES(listOf(FaultKind.STORE_RESTORED)),
     WORKERS(listOf(FaultKind.WORKER_CRASHED, FaultKind.WORKER_NOT_READING)),
+    ENDLESS_ANSWERS(listOf(FaultKind.ANSWERS_WITHOUT_END)),
 }
 
 internal enum class FaultKind {
@@ -58,6 +59,9 @@
 
     /** One worker reads nothing from its connections. */
     WORKER_NOT_READING,
+
+    /** One worker sends its answers in chunks of one byte without end. */
+    ANSWERS_WITHOUT_END,
 }
 
 /**
@@ -82,7 +86,8 @@
         private const val SERIES_SHARE = 0.6
         private const val VM_COUNT = 4
         private const val MAX_RESTORES = 2
-        private val drawnApart = setOf(FaultSeries.RESTORES, FaultSeries.WORKERS)
+        private const val MAX_ENDLESS = 2
+        private val drawnApart = setOf(FaultSeries.RESTORES, FaultSeries.WORKERS, FaultSeries.ENDLESS_ANSWERS)
 
         /** Draws the faults of the run [seed], which begin within [lengthMs]. */
         fun draw(seed: Long, lengthMs: Long): SoakSchedule {
@@ -97,6 +102,7 @@
             mapOf(
                 FaultSeries.RESTORES to drawSeries(FaultSeries.RESTORES, Random(seed.inv()), lengthMs).take(MAX_RESTORES),
                 FaultSeries.WORKERS to drawSeries(FaultSeries.WORKERS, Random(seed.inv() - 1), lengthMs),
+                FaultSeries.ENDLESS_ANSWERS to drawSeries(FaultSeries.ENDLESS_ANSWERS, Random(seed.inv() - 2), lengthMs).take(MAX_ENDLESS),
             )
 
         private fun drawSeries(series: FaultSeries, random: Random, lengthMs: Long): List<SoakFault> {
--- a/emulator/src/test/kotlin/org/endivestep/emulator/SoakWorker.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/SoakWorker.kt
@@ -36,6 +36,14 @@
         server.readsNothing = false
     }
 
+    /** Sends its answers in chunks of one byte without end for [durationMs]. */
+    fun answerWithoutEnd(durationMs: Long) {
+        val server = servers.last()
+        server.answersWithoutEnd = true
+        Thread.sleep(durationMs)
+        server.answersWithoutEnd = false
+    }
+
     override fun close() {
         heartbeats.close()
         servers.last().close()
