--- a/endivestep/src/main/kotlin/org/endivestep/ingress/BodyMemory.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/BodyMemory.kt
@@ -13,23 +13,18 @@
 
     /** Takes [bytes]; returns false, and takes none, if they are not left. */
     fun tryTake(bytes: Int): Boolean {
-        val fits = taken.addAndGet(bytes.toLong()) <= maxBytes
-        if (!fits) taken.addAndGet(-bytes.toLong())
-        logChange(!fits)
-        return fits
+        if (taken.addAndGet(bytes.toLong()) <= maxBytes) return true
+        taken.addAndGet(-bytes.toLong())
+        if (refuses.compareAndSet(false, true)) {
+            logger.warn { "refusing requests with bodies: those that are buffered take $maxBytes bytes" }
+        }
+        return false
     }
 
     /** Gives back [bytes] that were taken. */
     fun giveBack(bytes: Long) {
-        taken.addAndGet(-bytes)
-    }
-
-    private fun logChange(refusesNow: Boolean) {
-        if (refuses.get() == refusesNow || !refuses.compareAndSet(!refusesNow, refusesNow)) return
-        if (refusesNow) {
-            logger.warn { "refusing requests with bodies: those that are buffered take $maxBytes bytes" }
-        } else {
-            logger.info { "accepting requests with bodies again" }
-        }
+        val left = taken.addAndGet(-bytes)
+        // Well below the bound, so that requests at the bound do not write a line each.
+        if (left <= maxBytes / 2 && refuses.compareAndSet(true, false)) logger.info { "accepting requests with bodies again" }
     }
 }
