--- a/emulator/src/test/kotlin/org/endivestep/emulator/SoakFaults.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/SoakFaults.kt
@@ -61,14 +61,21 @@
             FaultKind.PEERS_CUT_ONE_WAY -> disturbPeers(node, fault, cutOneWay)
             FaultKind.PEERS_SILENCED -> disturbPeers(node, fault, silenced)
             FaultKind.ANSWERS_SPOILT -> spoil(node, fault)
-            FaultKind.WORKER_CRASHED -> workers.getValue(node).crash(fault.durationMs, keepsId = fault.severity < 0.5)
-            FaultKind.WORKER_NOT_READING -> workers.getValue(node).stopReading(fault.durationMs)
-            FaultKind.ANSWERS_WITHOUT_END -> workers.getValue(node).answerWithoutEnd(fault.durationMs)
             FaultKind.CONFIGURATION_CHANGED -> configure()
+            in FaultSeries.WORKERS.kinds, in FaultSeries.ENDLESS_ANSWERS.kinds -> playOnWorker(workers.getValue(node), fault)
             else -> playOnStore(fault)
         }
     }
 
+    private fun playOnWorker(worker: SoakWorker, fault: SoakFault) {
+        when (fault.kind) {
+            FaultKind.WORKER_CRASHED -> worker.crash(fault.durationMs, keepsId = fault.severity < 0.5)
+            FaultKind.WORKER_NOT_READING -> worker.stopReading(fault.durationMs)
+            FaultKind.ANSWERS_WITHOUT_END -> worker.answerWithoutEnd(fault.durationMs)
+            else -> error("not a fault of a worker: $fault")
+        }
+    }
+
     private fun playOnStore(fault: SoakFault) {
         val affected = if (fault.severity < 0.5) fleet.nodes else listOf(fleet.nodes[fault.target])
         when (fault.kind) {
