Log how old a request was when it was read and when it was dispatched

It shows now how long the request may have waited before it was read (readDelayMs) and when it was ready to be sent to a worker (dispatchedMs); with the times of the attempts, which were there, the rest is the crossing. A gauge shows the delay of the callers' event loop.

The arrival of what a loop reads is not known. What is known is how long the loop has not run a task that was due (LoopDelay), and for what comes with a new connection also the delay at which that was accepted (ReadDelay). The task runs ten times a second while there is traffic and for two seconds after it.

No decision depends on it yet.

--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -202,6 +202,7 @@
         metrics.gauge("endivestep.log.lines.left.out", "Lines on requests that were not written, to keep their bound") {
             ingress.logLinesLeftOut
         }
+        metrics.gauge("endivestep.loop.delay.ms", "Time by which the event loop of the callers is behind") { servers.callers.loopDelayMs }
         admissionNotices.start()
         innerServer.start()
         gossip.start()
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/CallerConnection.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/CallerConnection.kt
@@ -13,7 +13,9 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import org.endivestep.concurrent.LoopDelay
 import org.endivestep.document.CallerLimits
+import org.endivestep.exchange.monotonicMs
 import org.endivestep.outcome.HeaderField
 import java.util.concurrent.Executor
 import java.util.concurrent.RejectedExecutionException
@@ -37,6 +39,7 @@
     private val isClosing: () -> Boolean,
     private val handler: RequestHandler,
     private val mayOverlap: OverlapRule,
+    private val loopDelay: LoopDelay,
 ) : ChannelDuplexHandler() {
     private val pipeline = RequestPipeline<ServedRequest>()
     private var receiving: ReceivedRequest? = null
@@ -44,6 +47,12 @@
     // The request whose body holds up the reading, because its handler has not read what is there.
     private var pausedBy: ReceivedRequest? = null
     private var closesAfterAnswer = false
+    private lateinit var readDelay: ReadDelay
+
+    override fun channelActive(context: ChannelHandlerContext) {
+        readDelay = ReadDelay(loopDelay, monotonicMs())
+        super.channelActive(context)
+    }
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         try {
@@ -63,7 +72,7 @@
             else -> {
                 if (HttpUtil.is100ContinueExpected(request)) context.writeAndFlush(continueResponse())
                 val declaredLength = HttpUtil.getContentLength(request, -1L)
-                receiving = ReceivedRequest(request, declaredLength, limits().bodyBytes, bodyMemory)
+                receiving = ReceivedRequest(request, declaredLength, limits().bodyBytes, bodyMemory, readDelay.atRead(monotonicMs()))
             }
         }
     }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/CallerRequest.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/CallerRequest.kt
@@ -10,7 +10,10 @@
     val target: String,
     val headers: List<HeaderField>,
     val body: RequestBody,
+    /** When the request was read, on the clock of [org.endivestep.exchange.monotonicMs]. */
     val arrivedMs: Long,
+    /** Longest time in ms that the request may have waited in the socket before it was read. */
+    val readDelayMs: Long = 0,
 ) {
     val path: String get() = target.substringBefore('?')
 
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/IncomingCall.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/IncomingCall.kt
@@ -8,6 +8,7 @@
 import org.endivestep.exchange.MAX_INLINE_BODY_BYTES
 import org.endivestep.exchange.RequestBody
 import org.endivestep.exchange.RequestRank
+import org.endivestep.exchange.monotonicMs
 import org.endivestep.exchange.readWhole
 import org.endivestep.identity.Fingerprint
 import org.endivestep.identity.RequestId
@@ -41,6 +42,9 @@
     /** Whether the body can still be sent from its beginning. */
     val replayable: Boolean get() = (body as? RequestBody.Streamed)?.isOpened != true
 
+    /** When the request was ready to be sent to a worker, after the thread that handles it had been free. */
+    val dispatchedMs: Long = monotonicMs()
+
     /** Results of the attempts so far, for the log; see [AttemptHistory.trace]. */
     @Volatile
     var trace: List<String> = emptyList()
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/NettyCallerServer.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/NettyCallerServer.kt
@@ -5,16 +5,20 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoop
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.group.DefaultChannelGroup
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.util.concurrent.GlobalEventExecutor
+import org.endivestep.concurrent.LoopDelay
 import org.endivestep.document.CallerLimits
+import org.endivestep.exchange.monotonicMs
 import org.endivestep.settings.Address
 import java.io.IOException
 import java.net.InetSocketAddress
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.Executor
 import java.util.concurrent.TimeUnit
 
@@ -35,6 +39,7 @@
 ) {
     private val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
     private val bodyMemory = BodyMemory(MAX_BODY_MEMORY_BYTES)
+    private val loopDelays = ConcurrentHashMap<EventLoop, LoopDelay>()
     private var listener: Channel? = null
 
     /** Whether connections are closed after their next response. */
@@ -65,9 +70,16 @@
     private fun prepare(channel: SocketChannel) {
         connections.add(channel)
         channel.pipeline().addLast(HttpServerCodec(limits().headerBytes, limits().headerBytes, MAX_CHUNK_BYTES))
-        channel.pipeline().addLast(CallerConnection(handlerExecutor, limits, bodyMemory, { closing }, handler, mayOverlap))
+        val loopDelay = loopDelays.computeIfAbsent(channel.eventLoop(), ::measureDelay)
+        channel.pipeline().addLast(CallerConnection(handlerExecutor, limits, bodyMemory, { closing }, handler, mayOverlap, loopDelay))
     }
 
+    private fun measureDelay(loop: EventLoop) =
+        LoopDelay(::monotonicMs) { delayMs, task -> loop.schedule(task, delayMs, TimeUnit.MILLISECONDS) }
+
+    /** Time in ms by which the event loop that is furthest behind is late. */
+    val loopDelayMs: Long get() = loopDelays.values.maxOfOrNull { it.currentMs } ?: 0
+
     /** Closes idle connections now, and each other connection when its current exchange has ended. */
     fun closeAfterAnswers() {
         closing = true
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/ReceivedRequest.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/ReceivedRequest.kt
@@ -13,6 +13,7 @@
 
 /**
  * A request whose body, of at most [maxBytes], is still being received; what is buffered of it is taken from [memory].
+ * Its head may have waited in the socket for [readDelayMs].
  * Its methods must be called from the event loop of its connection, except [toRequest].
  */
 internal class ReceivedRequest(
@@ -20,6 +21,7 @@
     private val length: Long,
     private val maxBytes: Long,
     private val memory: BodyMemory,
+    private val readDelayMs: Long = 0,
 ) {
     enum class BodyProgress { INCOMPLETE, READY, TOO_LONG, NO_MEMORY }
 
@@ -81,6 +83,6 @@
     fun toRequest(): CallerRequest {
         val body = stream?.let { RequestBody.Streamed(it, length) } ?: RequestBody.Inline(buffered.toByteArray())
         val headers = head.headers().map { HeaderField(it.key, it.value) }
-        return CallerRequest(head.method().name(), head.uri(), headers, body, arrivedMs)
+        return CallerRequest(head.method().name(), head.uri(), headers, body, arrivedMs, readDelayMs)
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/RequestLog.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/RequestLog.kt
@@ -53,6 +53,8 @@
             result.call?.let { put("service", it.service.name.text) }
             if (result.outcome != FinalOutcome.ANSWERED) result.call?.let { put("fingerprint", it.fingerprint.text) }
             put("elapsedMs", elapsedMs)
+            put("readDelayMs", request.readDelayMs)
+            result.call?.let { put("dispatchedMs", it.dispatchedMs - request.arrivedMs) }
             put("deadlineMs", request.header(headers.deadlineMs).orEmpty())
             result.rule?.let { put("objectiveMs", it.objectiveMs) }
             result.rule?.let { put("timeoutMs", it.timeoutMs) }
