Add failing tests of work for callers that have left

- DelayedDaemonsProcessTest: four daemons as processes that run 150 ms and are stopped 650 ms by turns; callers wait for 700 ms.
Allowed are 3, "a few".

--- /dev/null
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/DelayedDaemonsProcessTest.kt
@@ -0,0 +1,191 @@
+package org.endivestep.emulator
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeGreaterThanOrEqual
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import java.io.Closeable
+import java.net.InetSocketAddress
+import java.net.Socket
+import java.util.Random
+import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
+
+private const val HOST = "shop.example"
+private const val SEED = 37L
+private const val SLOTS = 16
+private const val WORK_MS = 150L
+private const val DEADLINE_MS = 700L
+private const val REQUESTS = 1_200
+
+/** Time between two requests of all callers together. */
+private const val REQUEST_INTERVAL_MS = 10L
+
+/** A request may still reach its worker that long after its caller has left. */
+private const val LATE_AFTER_MS = 500L
+
+/** Requests in all that may reach a worker later than that. */
+private const val MAX_LATE = 3
+
+private val configuration =
+    """
+    {"version":"r3","limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_s":3,"idle_timeout_s":15},
+    "listeners":[{"host":"$HOST","rules":[
+    {"name":"reads","kind":"idempotent","slo_s":0.5,"priority":2,"match":{"path_prefix":"/reads/"},
+    "action":{"service":"stock","timeout_s":2,"attempts":2}}]}],
+    "clusters":[{"name":"stock","health_path":"/health","cold_start_s":3.0,"cold_per_s":1000.0},
+    {"name":"shop","health_path":"/health","cold_start_s":3.0,"cold_per_s":1000.0}]}
+    """.trimIndent().replace("\n", "")
+
+/** Lets [daemon] run for [runMs] and stops it for [stopMs], by turns, until closed. */
+private class PartTime(private val daemon: Process, private val runMs: Long, private val stopMs: Long) : Closeable {
+    @Volatile
+    private var isClosed = false
+
+    private val switching =
+        thread(isDaemon = true) {
+            while (!isClosed) {
+                signal(daemon, "STOP")
+                Thread.sleep(stopMs)
+                signal(daemon, "CONT")
+                Thread.sleep(runMs)
+            }
+        }
+
+    override fun close() {
+        isClosed = true
+        switching.join()
+    }
+}
+
+class DelayedDaemonsProcessTest :
+    FunSpec({
+        // Guards against work that daemons which are behind start for callers that left long before.
+        test("daemons that run only part of the time send hardly any request to a worker long after its caller has left") {
+            class Case(val runMs: Long, val stopMs: Long, val minAnswered: Int)
+            listOf(
+                // Longer stopped at a time than their callers wait, so that hardly any request can be answered.
+                Case(runMs = 150, stopMs = 650, minAnswered = 0),
+                // A third of a core, in the usual period of a limit on processor time.
+                Case(runMs = 30, stopMs = 70, minAnswered = REQUESTS / 2),
+            ).forEach { case ->
+                DelayedFleet().use { fleet ->
+                    val callers = fleet.sendWhileDelayed(case.runMs, case.stopMs)
+                    val delaysMs = fleet.delaysMs(callers)
+                    val lateMs = delaysMs.filter { it > LATE_AFTER_MS }.sorted()
+                    val answered = callers.count { it.status == 200 }
+                    val figures = "$answered of $REQUESTS answered, ${delaysMs.count { it > 0 }} begun after the close, late by $lateMs ms"
+                    println("delayed daemons, running ${case.runMs} and stopped ${case.stopMs} ms by turns: $figures")
+                    withClue(figures) {
+                        lateMs.size shouldBeLessThanOrEqual MAX_LATE
+                        answered shouldBeGreaterThanOrEqual case.minAnswered
+                    }
+                    fleet.awaitReads()
+                }
+            }
+        }
+    })
+
+/** Two daemons beside callers and two beside workers. */
+private class DelayedFleet : Closeable {
+    private val calling = listOf(PlatformNode("shop-a", "a", "shop"), PlatformNode("shop-b", "b", "shop"))
+    private val serving = listOf(PlatformNode("stock-a", "a", "stock"), PlatformNode("stock-b", "b", "stock"))
+    private val fleet = PlatformFleet(calling + serving)
+    private val workers: List<RecordingWorker>
+
+    init {
+        fleet.startDaemons(configuration)
+        calling.forEach(fleet::startWorker)
+        workers = serving.map(::RecordingWorker)
+        awaitReads()
+    }
+
+    fun awaitReads() =
+        awaitCondition("reads are answered") {
+            calling.all { runCatching { fleet.send(it, HOST, "/reads/1").statusCode() }.getOrNull() == 200 }
+        }
+
+    /** Sends [REQUESTS] while all daemons run for [runMs] and are stopped for [stopMs] by turns; returns their callers when all have left. */
+    fun sendWhileDelayed(runMs: Long, stopMs: Long): List<DeadlineCaller> {
+        val random = Random(SEED)
+        val callers = (0 until REQUESTS).map { DeadlineCaller("r$it", calling[random.nextInt(calling.size)].callerPort) }
+        val partTimes = (calling + serving).map { PartTime(it.daemon, runMs, stopMs) }
+        callers.forEach {
+            it.start()
+            Thread.sleep(REQUEST_INTERVAL_MS)
+        }
+        callers.forEach { it.await() }
+        partTimes.forEach { it.close() }
+        return callers
+    }
+
+    /** Returns for each request that reached a worker the time in ms from its caller's leaving to that, negative while it waited. */
+    fun delaysMs(callers: List<DeadlineCaller>): List<Long> {
+        // What still is on its way arrives.
+        Thread.sleep(DEADLINE_MS)
+        val leftNanos = callers.associate { it.id to it.leftNanos }
+        return workers.flatMap { it.runs }.mapNotNull { run ->
+            leftNanos[run.requestId]?.let { TimeUnit.NANOSECONDS.toMillis(run.startNanos - it) }
+        }
+    }
+
+    override fun close() {
+        workers.forEach { it.close() }
+        fleet.close()
+    }
+}
+
+private class RecordingWorker(node: PlatformNode) : Closeable {
+    private val behaviour = PlatformWorkerBehaviour("i-${node.vm}", SLOTS, WORK_MS)
+    private val server = SpoilingWorkerServer(node.workerPort, node.service, behaviour) { null }
+    private val heartbeats = PlatformHeartbeats("http://127.0.0.1:${node.heartbeatPort}", behaviour, node.service)
+
+    val runs: Collection<WorkerRun> get() = server.runs
+
+    init {
+        heartbeats.start("127.0.0.1:${node.workerPort}")
+    }
+
+    override fun close() {
+        heartbeats.close()
+        server.close()
+    }
+}
+
+/** A caller that sends one request on a connection of its own, and closes it when the answer has come or its deadline has passed. */
+private class DeadlineCaller(val id: String, private val port: Int) {
+    /** When the connection was closed, on the clock of [System.nanoTime]. */
+    @Volatile
+    var leftNanos = Long.MAX_VALUE
+        private set
+
+    /** Status of the answer, 0 without one. */
+    @Volatile
+    var status = 0
+        private set
+
+    private lateinit var exchange: Thread
+
+    fun start() {
+        exchange = thread(isDaemon = true) { runCatching(::send).onFailure { leftNanos = System.nanoTime() } }
+    }
+
+    fun await() = exchange.join()
+
+    private fun send() {
+        val untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(DEADLINE_MS)
+        val head = "GET /reads/$id HTTP/1.1\r\nHost: $HOST\r\nX-Request-Id: $id\r\nX-Deadline-Ms: $DEADLINE_MS\r\n\r\n"
+        Socket().use { socket ->
+            try {
+                socket.connect(InetSocketAddress("127.0.0.1", port), DEADLINE_MS.toInt())
+                socket.getOutputStream().write(head.toByteArray())
+                val remainingMs = TimeUnit.NANOSECONDS.toMillis(untilNanos - System.nanoTime()).coerceAtLeast(1)
+                socket.soTimeout = remainingMs.toInt()
+                val line = socket.getInputStream().readNBytes("HTTP/1.1 200".length).decodeToString()
+                status = line.takeLast(3).toIntOrNull() ?: 0
+            } finally {
+                leftNanos = System.nanoTime()
+            }
+        }
+    }
+}
--- a/endivestep/src/test/kotlin/org/endivestep/fakes/CallerServerFixture.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/fakes/CallerServerFixture.kt
@@ -8,6 +8,7 @@
 import org.endivestep.settings.Address
 import java.net.ServerSocket
 import java.net.Socket
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
 
@@ -26,6 +27,16 @@
         listener.start()
     }
 
+    /** Keeps the event loop from handling anything, until [release] is counted down. */
+    fun stall(release: CountDownLatch) {
+        val stalled = CountDownLatch(1)
+        loops.next().execute {
+            stalled.countDown()
+            release.await()
+        }
+        stalled.await()
+    }
+
     fun connect() = Socket("127.0.0.1", port).also { it.soTimeout = 3_000 }
 
     /** Sends [text] on a new connection. Returns all bytes received until it closes, or only the first byte if not [readToEnd]. */
