Start a request only when the close of its connection would have been read

What callers saw: work went on for them after they had left (GONE). Cause: the loop read a request and started its handler on another thread at once; the close that lay behind it in the same socket was read in the loop's next round, when the handler had often passed the request on. A daemon that is behind reads mostly such requests, and does all the work for each of them.

Reads of a connection go on until nothing more has come, and requests start in a task of the loop that runs after its reads. So a request whose caller has closed costs its decoding and nothing else.

Weighed: peeking for the end of the stream before each start, which takes a system call as well and leaves the window between. Cost: one more read of an empty socket for each request.

--- a/endivestep/src/main/kotlin/org/endivestep/ingress/CallerConnection.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/CallerConnection.kt
@@ -47,6 +47,7 @@
     // The request whose body holds up the reading, because its handler has not read what is there.
     private var pausedBy: ReceivedRequest? = null
     private var closesAfterAnswer = false
+    private var startIsScheduled = false
     private lateinit var readDelay: ReadDelay
 
     override fun channelActive(context: ChannelHandlerContext) {
@@ -111,7 +112,18 @@
         }
         val overlap = if (isWhole) mayOverlap else { _ -> false }
         pipeline.add(ServedRequest(context.channel(), request, overlap, limits().idleTimeoutMs) { handler(request.toRequest()) })
-        startWaiting(context)
+        updateReading(context)
+        startAfterReads(context)
+    }
+
+    // The close of the connection may already have come behind the request, and is read before the task runs.
+    private fun startAfterReads(context: ChannelHandlerContext) {
+        if (startIsScheduled) return
+        startIsScheduled = true
+        context.executor().execute {
+            startIsScheduled = false
+            startWaiting(context)
+        }
     }
 
     // The answers of requests before the refused one leave first; the bytes behind it cannot be parsed.
@@ -123,6 +135,7 @@
     }
 
     private fun startWaiting(context: ChannelHandlerContext) {
+        if (!context.channel().isActive) return
         while (context.channel().isWritable) {
             val next = pipeline.startNext(isClosing()) ?: break
             if (pipeline.first === next) next.allowAnswer()
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/NettyCallerServer.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/NettyCallerServer.kt
@@ -55,8 +55,7 @@
                 .option(ChannelOption.SO_BACKLOG, ACCEPT_QUEUE)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                // All requests of one read are decoded at once, so its size bounds their number.
-                .childOption(ChannelOption.RCVBUF_ALLOCATOR, AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES))
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, readSizes())
                 .childHandler(
                     object : ChannelInitializer<SocketChannel>() {
                         override fun initChannel(channel: SocketChannel) = prepare(channel)
@@ -67,6 +66,13 @@
         listener = binding.channel()
     }
 
+    // All requests of one read are decoded at once, so its size bounds their number. Reads go on until nothing more has come, so that
+    // the close of a connection is known before the request that came before it is started.
+    private fun readSizes() =
+        AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
+            .respectMaybeMoreData(false)
+            .maxMessagesPerRead(MAX_SUCCESSIVE_READS)
+
     private fun prepare(channel: SocketChannel) {
         connections.add(channel)
         channel.pipeline().addLast(HttpServerCodec(limits().headerBytes, limits().headerBytes, MAX_CHUNK_BYTES))
@@ -98,6 +104,7 @@
         const val MIN_READ_BYTES = 64
         const val FIRST_READ_BYTES = 2_048
         const val MAX_READ_BYTES = 32_768
+        const val MAX_SUCCESSIVE_READS = 4
 
         /** Bodies that are buffered before their requests are handled, and while these run. */
         const val MAX_BODY_MEMORY_BYTES = 25_165_824L
