Cancel a request on the event loop that reads its caller's close

What callers saw: work went on for them after they had left (GONE). Cause: a close interrupted the thread of the request's handler, and only that thread, when it got processor time, ended the exchange with the other daemon or forbade the write to the worker. In a daemon with many runnable threads the write, a task of the same loop, came first.

A Cancellation goes with the request from the caller's connection to the worker's. The loop that reads the close, or the end of an exchange, sets it: it ends the exchange at once, without a thread, and the task that writes to the worker asks for it last. An attempt that was cancelled before its thread began does not wait for admission any more, and a request whose caller has left is offered to no further worker.

--- a/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
@@ -83,7 +83,7 @@
         when {
             document()?.isIn(dataCentre) != true -> NotRunReason.DATA_CENTRE_OUT
             stopping -> NotRunReason.LEAVING
-            else -> workerRefusal(request, worker) ?: NotRunReason.DEADLINE_PASSED.takeIf { request.deadline.remainingMs(nowMs()) <= 0 }
+            else -> workerRefusal(request, worker) ?: NotRunReason.DEADLINE_PASSED.takeUnless { request.isNeeded(nowMs()) }
         }
 
     private fun workerRefusal(request: AttemptRequest, worker: LocalWorker?): NotRunReason? =
--- a/endivestep/src/main/kotlin/org/endivestep/egress/NettyWorkerCall.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/NettyWorkerCall.kt
@@ -72,11 +72,11 @@
     private fun failed(cause: String) = WorkerResult.Failed(cause, timedOut = remainingMs() <= 0)
 
     private fun exchange(connection: HttpConnection): WorkerResult {
-        if (remainingMs() <= 0) {
+        if (!attempt.isNeeded(monotonicMs())) {
             connections.release(address, connection)
             return WorkerResult.Expired
         }
-        connection.send(head(), attempt.body, remainingMs()) { !cancelled && remainingMs() > 0 }
+        connection.send(head(), attempt.body, remainingMs()) { !cancelled && attempt.isNeeded(monotonicMs()) }
         return when (val event = connection.next(remainingMs().coerceAtLeast(1))) {
             HttpResponseEvent.NotSent -> {
                 connections.release(address, connection)
--- a/endivestep/src/main/kotlin/org/endivestep/exchange/AttemptRequest.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/exchange/AttemptRequest.kt
@@ -45,14 +45,31 @@
     val rank: RequestRank = RequestRank(),
     /** Maximum time in ms that the request may wait for admission. */
     val maxWaitMs: Long = Long.MAX_VALUE,
+    /** Whether anybody still waits for the answer. */
+    val cancellation: Cancellation = Cancellation(),
 ) {
+    /** Whether the request may still be sent to a worker: somebody waits for its answer, and not only until [nowMs]. */
+    fun isNeeded(nowMs: Long): Boolean = !cancellation.isCancelled && deadline.remainingMs(nowMs) > 0
+
     /** Returns this request with an inline body of more than [limit] bytes converted to a stream, which is sent only after admission. */
     fun withStreamedBody(limit: Int): AttemptRequest {
         val bytes = (body as? RequestBody.Inline)?.bytes
         if (bytes == null || bytes.size <= limit) return this
         val streamed = RequestBody.Streamed(bytes.inputStream(), bytes.size.toLong())
         return AttemptRequest(
-            requestId, attemptId, service, kind, method, path, headers, streamed, deadline, fingerprint, rank, maxWaitMs,
+            requestId,
+            attemptId,
+            service,
+            kind,
+            method,
+            path,
+            headers,
+            streamed,
+            deadline,
+            fingerprint,
+            rank,
+            maxWaitMs,
+            cancellation,
         )
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/CallerRequest.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/CallerRequest.kt
@@ -1,5 +1,6 @@
 package org.endivestep.ingress
 
+import org.endivestep.exchange.Cancellation
 import org.endivestep.exchange.RequestBody
 import org.endivestep.outcome.HeaderField
 import java.io.InputStream
@@ -14,6 +15,8 @@
     val arrivedMs: Long,
     /** Longest time in ms that the request may have waited in the socket before it was read. */
     val readDelayMs: Long = 0,
+    /** Whether the caller still waits for the answer. */
+    val cancellation: Cancellation = Cancellation(),
 ) {
     val path: String get() = target.substringBefore('?')
 
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
@@ -52,11 +52,15 @@
 ) {
     private val budgets = HashMap<ServiceName, RetryBudget>()
 
-    /** Runs [call] with [firstAttempt] as the id of its first attempt, until its outcome is final. */
+    /**
+     * Runs [call] with [firstAttempt] as the id of its first attempt, until its outcome is final. Throws [InterruptedException]
+     * when the caller has left.
+     */
     fun dispatch(call: IncomingCall, firstAttempt: AttemptId): AttemptResult {
         val history = AttemptHistory()
         var attemptId = firstAttempt
         while (true) {
+            if (call.cancellation.isCancelled) throw InterruptedException("the caller has left")
             val windowMs = sendWindowMs(call)
             if (windowMs <= 0) return history.outcome() ?: AttemptResult.NotRun(NotRunReason.LEAVING)
             val route = chooseRoute(call, history) ?: return history.outcome() ?: AttemptResult.NotRun(NotRunReason.NO_WORKER)
@@ -154,6 +158,7 @@
             fingerprint = call.fingerprint,
             rank = call.rank,
             maxWaitMs = maxWaitMs,
+            cancellation = call.cancellation,
         )
 
     private fun <T> withBudget(call: IncomingCall, use: (RetryBudget) -> T): T =
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/IncomingCall.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/IncomingCall.kt
@@ -4,6 +4,7 @@
 import org.endivestep.document.Kind
 import org.endivestep.document.Service
 import org.endivestep.document.kindOf
+import org.endivestep.exchange.Cancellation
 import org.endivestep.exchange.Deadline
 import org.endivestep.exchange.MAX_INLINE_BODY_BYTES
 import org.endivestep.exchange.RequestBody
@@ -38,6 +39,8 @@
     val fingerprint: Fingerprint,
     val maxAttempts: Int = service.retry.maxAttempts,
     val rank: RequestRank = RequestRank(),
+    /** Whether the caller still waits for the answer. */
+    val cancellation: Cancellation = Cancellation(),
 ) {
     /** Whether the body can still be sent from its beginning. */
     val replayable: Boolean get() = (body as? RequestBody.Streamed)?.isOpened != true
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/ReceivedRequest.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/ReceivedRequest.kt
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
+import org.endivestep.exchange.Cancellation
 import org.endivestep.exchange.RequestBody
 import org.endivestep.exchange.monotonicMs
 import org.endivestep.outcome.HeaderField
@@ -25,6 +26,8 @@
 ) {
     enum class BodyProgress { INCOMPLETE, READY, TOO_LONG, NO_MEMORY }
 
+    /** Whether the caller still waits for the answer. */
+    val cancellation = Cancellation()
     private val arrivedMs = monotonicMs()
     private val buffered = ByteBlocks()
     private var stream: BodyQueue? = null
@@ -83,6 +86,6 @@
     fun toRequest(): CallerRequest {
         val body = stream?.let { RequestBody.Streamed(it, length) } ?: RequestBody.Inline(buffered.toByteArray())
         val headers = head.headers().map { HeaderField(it.key, it.value) }
-        return CallerRequest(head.method().name(), head.uri(), headers, body, arrivedMs, readDelayMs)
+        return CallerRequest(head.method().name(), head.uri(), headers, body, arrivedMs, readDelayMs, cancellation)
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
@@ -113,6 +113,7 @@
             fingerprint = fingerprint,
             maxAttempts = rule.maxAttempts,
             rank = RequestRank(rule.priority, (firstMs ?: request.arrivedMs) + rule.objectiveMs, repeated = firstMs != null),
+            cancellation = request.cancellation,
         )
     }
 
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/ServedRequest.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/ServedRequest.kt
@@ -65,12 +65,14 @@
     /** Lets the response be sent, now that it is the next one on the connection. */
     fun allowAnswer() = mayAnswer.countDown()
 
-    /** Interrupts the handler because the caller no longer waits for the response. */
-    fun cancel() =
+    /** Cancels the request and interrupts its handler, because the caller no longer waits for the response. */
+    fun cancel() {
+        received?.cancellation?.cancel()
         synchronized(this) {
             cancelled = true
             runner?.interrupt()
         }
+    }
 
     /** Responds with 503 because no handler thread is free; the request is not handled. */
     fun reject() {
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeClient.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeClient.kt
@@ -41,7 +41,10 @@
     private val background: Executor,
     private val admitTimeoutMs: Long = ADMIT_TIMEOUT_MS,
 ) {
-    /** Runs [request] at [peer]; blocks until the answer begins or the attempt fails. */
+    /**
+     * Runs [attempt] at [peer]; blocks until the answer begins or the attempt fails. Throws [InterruptedException] when the
+     * caller has left.
+     */
     fun attempt(peer: Peer, attempt: AttemptRequest): AttemptResult {
         val request = attempt.withStreamedBody(MAX_BODY_BEFORE_ADMISSION_BYTES)
         val channel = channels.next(peer)
@@ -63,9 +66,11 @@
         sentMs: Long,
     ): AttemptResult {
         call.start(request.toHead(peer.incarnation, monotonicMs()), streamsBody = request.body is RequestBody.Streamed)
+        request.cancellation.onCancel { call.cancel("the caller has left") }
         val answerTimeoutMs = request.deadline.remainingMs(monotonicMs()) + DEADLINE_GRACE_MS
         val received = call.next(minOf(answerTimeoutMs, admitTimeoutMs))
         val first = (received as? ReceiveResult.Frame)?.frame
+        if (first == null && request.cancellation.isCancelled) throw InterruptedException("the caller has left")
         return when {
             first == null && received is ReceiveResult.TimedOut && answerTimeoutMs < admitTimeoutMs -> overdue(
                 peer,
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ServedExchange.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ServedExchange.kt
@@ -6,6 +6,7 @@
 import io.grpc.stub.ServerCallStreamObserver
 import org.endivestep.egress.Egress
 import org.endivestep.exchange.AttemptRequest
+import org.endivestep.exchange.Cancellation
 import org.endivestep.exchange.Deadline
 import org.endivestep.exchange.RequestBody
 import org.endivestep.exchange.RequestRank
@@ -39,13 +40,16 @@
 ) : PendingNotice {
     override val arrivedMs = monotonicMs()
 
+    private val cancellation = Cancellation()
+
     @Volatile
     private var runner: Thread? = null
     private val noticeLock = Any()
     private var noticeIsNeeded = true
 
-    /** Interrupts the attempt, because its answer is no longer needed. */
+    /** Ends the attempt, because its answer is no longer needed; one that has not been sent to the worker is not sent any more. */
     fun cancel() {
+        cancellation.cancel()
         synchronized(this) { runner?.interrupt() }
     }
 
@@ -65,6 +69,7 @@
     }
 
     private fun answer() {
+        if (cancellation.isCancelled) throw IOException("the calling daemon cancelled the exchange")
         val first = inbox.next(HEAD_TIMEOUT_MS) as? ReceiveResult.Frame ?: throw IOException("no request head received")
         if (!first.frame.hasHead()) throw IOException("the first frame is not a request head")
         val head = first.frame.head
@@ -139,6 +144,7 @@
             fingerprint = Fingerprint(head.fingerprint),
             rank = RequestRank(head.priority, monotonicMs() + head.objectiveMs, head.nested, head.repeated),
             maxWaitMs = head.patienceMs,
+            cancellation = cancellation,
         )
 
     private fun body(head: RequestHead): RequestBody {
