Count the time that a request waited unread against its deadline

What callers saw: work went on for them after they had left (GONE). Cause: the time of reading was taken for the time of arrival, so a request that had waited in its socket got its whole deadline once more.

The delay of the loop bounds that wait, and so does the deadline, since the caller was still there when the request was read. The middle of that time is taken. Weighed: the bound itself refuses requests whose callers would still wait; nothing at all was the fault.

--- a/endivestep/src/main/kotlin/org/endivestep/ingress/CallerRequest.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/CallerRequest.kt
@@ -20,6 +20,14 @@
 ) {
     val path: String get() = target.substringBefore('?')
 
+    /**
+     * Estimates when the caller sent the request, which it waits for [deadlineMs] to have answered.
+     *
+     * The request waited in the socket for at most [readDelayMs], and for less than its deadline, because the caller was
+     * still there when it was read. The middle of that time is taken.
+     */
+    fun sentMs(deadlineMs: Long): Long = arrivedMs - minOf(readDelayMs, deadlineMs) / 2
+
     /** Returns the value of the first header called [name], ignoring case, or null. */
     fun header(name: String): String? = headers.firstOrNull { it.name.equals(name, ignoreCase = true) }?.value
 }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
@@ -84,8 +84,7 @@
                 ?: return refusal(request, rule, NotRunReason.UNKNOWN_SERVICE)
         // The answer to a request without an id could not be attributed to it.
         if (requestId.isBlank()) return refusal(request, rule, NotRunReason.BAD_REQUEST)
-        val deadlineMs = request.header(headers.deadlineMs)?.toLongOrNull() ?: rule.timeoutMs
-        val deadline = Deadline(request.arrivedMs + minOf(deadlineMs, rule.timeoutMs))
+        val deadline = Deadline(sentMs(request, rule) + minOf(deadlineMs(request, rule), rule.timeoutMs))
         if (deadline.remainingMs(monotonicMs()) <= 0) return refusal(request, rule, NotRunReason.DEADLINE_PASSED)
         if (deadline.atMs > endMs) return refusal(request, rule, NotRunReason.LEAVING)
         val call = call(request, rule, service, requestId, deadline)
@@ -94,6 +93,11 @@
         return reply(request, rule, call, result)
     }
 
+    private fun deadlineMs(request: CallerRequest, rule: RouteRule): Long =
+        request.header(headers.deadlineMs)?.toLongOrNull() ?: rule.timeoutMs
+
+    private fun sentMs(request: CallerRequest, rule: RouteRule): Long = request.sentMs(deadlineMs(request, rule))
+
     private fun host(request: CallerRequest): String = request.header("Host").orEmpty().substringBefore(':').lowercase()
 
     private fun call(request: CallerRequest, rule: RouteRule, service: Service, requestId: String, deadline: Deadline): IncomingCall {
@@ -112,7 +116,7 @@
             idempotencyKey = null,
             fingerprint = fingerprint,
             maxAttempts = rule.maxAttempts,
-            rank = RequestRank(rule.priority, (firstMs ?: request.arrivedMs) + rule.objectiveMs, repeated = firstMs != null),
+            rank = RequestRank(rule.priority, (firstMs ?: sentMs(request, rule)) + rule.objectiveMs, repeated = firstMs != null),
             cancellation = request.cancellation,
         )
     }
@@ -136,7 +140,7 @@
 
     private fun refusal(request: CallerRequest, rule: RouteRule?, reason: NotRunReason, call: IncomingCall? = null): CallerReply {
         val deadlineMs = request.header(headers.deadlineMs)?.toLongOrNull() ?: 0
-        val remainingMs = request.arrivedMs + deadlineMs - monotonicMs()
+        val remainingMs = request.sentMs(deadlineMs) + deadlineMs - monotonicMs()
         val status = if (reason in callerErrors) reason.status() else NOT_RUN_STATUS
         val retryDelayMs = retryDelay(rule, reason, remainingMs)
         record(request, RequestOutcome(FinalOutcome.NOT_RUN, status, reason.text, rule, call, retryDelayMs))
