Count the time between two daemons against a request's deadline

What callers saw: work went on for them after they had left (GONE). Cause: the head of an attempt carries the time that is left, and the other daemon counted it anew from when one of its threads took the head. The way, the queues of both transports and the wait for the thread were added to the deadline.

The head also carries when it was sent, by the sender's clock. A connection's least difference of the two clocks belongs to a message that did not wait; what a later one has beyond it, it waited (CrossingDelay, one for each connection). The deadline is counted from the arrival of the stream less that, not from the start of the thread. The field is optional: an attempt of an older daemon is counted from its arrival.

--- a/endivestep/src/main/kotlin/org/endivestep/daemon/InnerServer.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/InnerServer.kt
@@ -8,6 +8,7 @@
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.nio.NioEventLoopGroup
 import io.netty.channel.socket.nio.NioServerSocketChannel
+import org.endivestep.protocol.CrossingDelay
 import org.endivestep.settings.Address
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
@@ -36,6 +37,8 @@
         .flowControlWindow(FLOW_WINDOW_BYTES)
         .permitKeepAliveTime(KEEP_ALIVE_PERMITTED_SECONDS, TimeUnit.SECONDS)
         .permitKeepAliveWithoutCalls(true)
+        .addTransportFilter(CrossingDelay.transportFilter)
+        .intercept(CrossingDelay.interceptor)
         .apply { interceptors.forEach(::intercept) }
         .apply { services.forEach(::addService) }
         .build()
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeServer.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeServer.kt
@@ -27,7 +27,7 @@
         stream.disableAutoRequest()
         val inbox = FrameInbox<RequestFrame> { stream.request(1) }
         val gate = SendGate { stream.isReady || stream.isCancelled }
-        val run = ServedExchange(stream, inbox, gate, egress, incarnation, notices)
+        val run = ServedExchange(stream, inbox, gate, egress, incarnation, notices, CrossingDelay.ofCurrentCall)
         stream.setOnReadyHandler(gate::signal)
         stream.setOnCancelHandler {
             gate.fail("the calling daemon cancelled the exchange")
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ServedExchange.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ServedExchange.kt
@@ -37,6 +37,8 @@
     private val egress: Egress,
     private val incarnation: () -> DaemonIncarnation,
     private val notices: AdmissionNotices,
+    /** Of the connection on which the attempt came, null when it is not known. */
+    private val crossingDelay: CrossingDelay?,
 ) : PendingNotice {
     override val arrivedMs = monotonicMs()
 
@@ -130,8 +132,11 @@
         sender.send(result.body)
     }
 
-    private fun request(head: RequestHead): AttemptRequest =
-        AttemptRequest(
+    // What is left of the request's time is counted from when its head was sent, as far as that can be told.
+    private fun request(head: RequestHead): AttemptRequest {
+        val waitedMs = if (head.hasSentMs()) crossingDelay?.waitedMs(head.sentMs, arrivedMs) else null
+        val sentMs = arrivedMs - (waitedMs ?: 0)
+        return AttemptRequest(
             requestId = RequestId(head.requestId),
             attemptId = AttemptId(head.attemptId),
             service = ServiceName(head.service),
@@ -140,12 +145,13 @@
             path = head.path,
             headers = head.headersList.toFields(),
             body = body(head),
-            deadline = Deadline(monotonicMs() + head.remainingMs),
+            deadline = Deadline(sentMs + head.remainingMs),
             fingerprint = Fingerprint(head.fingerprint),
-            rank = RequestRank(head.priority, monotonicMs() + head.objectiveMs, head.nested, head.repeated),
+            rank = RequestRank(head.priority, sentMs + head.objectiveMs, head.nested, head.repeated),
             maxWaitMs = head.patienceMs,
             cancellation = cancellation,
         )
+    }
 
     private fun body(head: RequestHead): RequestBody {
         if (!head.streamedBody) return RequestBody.Inline(head.inlineBody.toByteArray())
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/WireCodec.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/WireCodec.kt
@@ -48,6 +48,7 @@
             .setPatienceMs(maxWaitMs)
             .setNested(rank.nested)
             .setRepeated(rank.repeated)
+            .setSentMs(nowMs)
     when (val body = body) {
         is RequestBody.Inline -> builder.setInlineBody(UnsafeByteOperations.unsafeWrap(body.bytes))
         is RequestBody.Streamed -> builder.setStreamedBody(true).setBodyLength(body.length)
--- a/protocol/src/main/java/org/endivestep/protocol/v1/Endivestep.java
+++ b/protocol/src/main/java/org/endivestep/protocol/v1/Endivestep.java
@@ -190,7 +190,7 @@
       "uestFrame\022*\n\004head\030\001 \001(\0132\032.endivestep.v1." +
       "RequestHeadH\000\022)\n\005chunk\030\002 \001(\0132\030.endiveste" +
       "p.v1.BodyChunkH\000\022%\n\003end\030\003 \001(\0132\026.endivest" +
-      "ep.v1.BodyEndH\000B\007\n\005frame\"\240\003\n\013RequestHead" +
+      "ep.v1.BodyEndH\000B\007\n\005frame\"\302\003\n\013RequestHead" +
       "\022\022\n\nrequest_id\030\001 \001(\t\022\022\n\nattempt_id\030\002 \001(\t" +
       "\022\017\n\007service\030\003 \001(\t\022\014\n\004kind\030\004 \001(\t\022\016\n\006metho" +
       "d\030\005 \001(\t\022\014\n\004path\030\006 \001(\t\022&\n\007headers\030\007 \003(\0132\025" +
@@ -201,104 +201,105 @@
       "\025configuration_version\030\016 \001(\003\022\020\n\010priority" +
       "\030\017 \001(\005\022\024\n\014objective_ms\030\020 \001(\003\022\023\n\013patience" +
       "_ms\030\021 \001(\003\022\016\n\006nested\030\022 \001(\010\022\020\n\010repeated\030\023 " +
-      "\001(\010\")\n\tBodyChunk\022\r\n\005index\030\001 \001(\005\022\r\n\005bytes" +
-      "\030\002 \001(\014\";\n\007BodyEnd\022\016\n\006frames\030\001 \001(\005\022\016\n\006len" +
-      "gth\030\002 \001(\003\022\020\n\010checksum\030\003 \001(\r\"\225\002\n\013AnswerFr" +
-      "ame\022+\n\010admitted\030\001 \001(\0132\027.endivestep.v1.Ad" +
-      "mittedH\000\022(\n\007not_run\030\002 \001(\0132\025.endivestep.v" +
-      "1.NotRunH\000\022)\n\007unknown\030\003 \001(\0132\026.endivestep" +
-      ".v1.UnknownH\000\022)\n\004head\030\004 \001(\0132\031.endivestep" +
-      ".v1.AnswerHeadH\000\022)\n\005chunk\030\005 \001(\0132\030.endive" +
-      "step.v1.BodyChunkH\000\022%\n\003end\030\006 \001(\0132\026.endiv" +
-      "estep.v1.BodyEndH\000B\007\n\005frame\"Y\n\nLoadRepor" +
-      "t\022\021\n\tin_flight\030\001 \001(\005\022\r\n\005limit\030\002 \001(\005\022\017\n\007w" +
-      "aiting\030\003 \001(\005\022\030\n\020slowness_percent\030\004 \001(\005\"S" +
-      "\n\nLoadNotice\022\n\n\002vm\030\001 \001(\t\022\'\n\004load\030\002 \001(\0132\031" +
-      ".endivestep.v1.LoadReport\022\020\n\010sequence\030\003 " +
-      "\001(\003\"3\n\010Admitted\022\'\n\004load\030\001 \001(\0132\031.endivest" +
-      "ep.v1.LoadReport\"P\n\006NotRun\022\016\n\006reason\030\001 \001" +
-      "(\t\022\'\n\004load\030\002 \001(\0132\031.endivestep.v1.LoadRep" +
-      "ort\022\r\n\005final\030\003 \001(\010\"B\n\007Unknown\022\016\n\006reason\030" +
-      "\001 \001(\t\022\'\n\004load\030\002 \001(\0132\031.endivestep.v1.Load" +
-      "Report\"\271\001\n\nAnswerHead\022\022\n\nrequest_id\030\001 \001(" +
-      "\t\022\022\n\nattempt_id\030\002 \001(\t\022\016\n\006status\030\003 \001(\005\022&\n" +
-      "\007headers\030\004 \003(\0132\025.endivestep.v1.Header\022\'\n" +
-      "\004load\030\005 \001(\0132\031.endivestep.v1.LoadReport\022\r" +
-      "\n\005whole\030\006 \001(\010\022\023\n\013inline_body\030\007 \001(\014\"N\n\014Fe" +
-      "nceRequest\022\022\n\nattempt_id\030\001 \001(\t\022\032\n\022daemon" +
-      "_incarnation\030\002 \001(\t\022\016\n\006age_ms\030\003 \001(\003\"\217\001\n\013F" +
-      "enceAnswer\022/\n\005state\030\001 \001(\0162 .endivestep.v" +
-      "1.FenceAnswer.State\"O\n\005State\022\017\n\013UNSPECIF" +
-      "IED\020\000\022\021\n\rNEVER_STARTED\020\001\022\013\n\007STARTED\020\002\022\025\n" +
-      "\021OTHER_INCARNATION\020\003\"X\n\024ConfigurationReq" +
-      "uest\022\025\n\rknown_version\030\001 \001(\003\022\021\n\tknown_era" +
-      "\030\002 \001(\003\022\026\n\016known_revision\030\003 \001(\003\"\277\001\n\023Confi" +
-      "gurationRecord\022\017\n\007version\030\001 \001(\003\022\020\n\010docum" +
-      "ent\030\002 \001(\t\022*\n\006change\030\003 \001(\0132\032.endivestep.v" +
-      "1.ChangeEntry\022.\n\rlatest_states\030\004 \003(\0132\027.e" +
-      "ndivestep.v1.Override\022\021\n\tstore_era\030\005 \001(\003" +
-      "\022\026\n\016store_revision\030\006 \001(\003\"w\n\010Override\022\023\n\013" +
-      "data_centre\030\001 \001(\t\022\r\n\005state\030\002 \001(\t\022\021\n\tchan" +
-      "ge_id\030\003 \001(\t\022\020\n\010operator\030\004 \001(\t\022\017\n\007time_ms" +
-      "\030\005 \001(\003\022\021\n\tstore_era\030\006 \001(\003\"\201\001\n\013ChangeEntr" +
-      "y\022\021\n\tchange_id\030\001 \001(\t\022\020\n\010operator\030\002 \001(\t\022\017" +
-      "\n\007time_ms\030\003 \001(\003\022\024\n\014from_version\030\004 \001(\003\022\022\n" +
-      "\nto_version\030\005 \001(\003\022\022\n\ndifference\030\006 \001(\t\"\304\002" +
-      "\n\006Member\022\n\n\002vm\030\001 \001(\t\022\014\n\004host\030\002 \001(\t\022\022\n\nin" +
-      "ner_port\030\003 \001(\005\022\023\n\013data_centre\030\004 \001(\t\022\032\n\022d" +
-      "aemon_incarnation\030\005 \001(\t\022\020\n\010sequence\030\006 \001(" +
-      "\003\022*\n\005state\030\007 \001(\0162\033.endivestep.v1.Member." +
-      "State\022\017\n\007service\030\010 \001(\t\022\032\n\022worker_incarna" +
-      "tion\030\t \001(\t\022\026\n\016worker_serving\030\n \001(\010\022\022\n\nad" +
-      "min_port\030\013 \001(\005\"D\n\005State\022\017\n\013UNSPECIFIED\020\000" +
-      "\022\t\n\005ALIVE\020\001\022\013\n\007SUSPECT\020\002\022\010\n\004DEAD\020\003\022\010\n\004LE" +
-      "FT\020\004\"T\n\tSuspicion\022\023\n\013fingerprint\030\001 \001(\t\022\016" +
-      "\n\006deaths\030\002 \003(\t\022\024\n\014remaining_ms\030\003 \001(\003\022\014\n\004" +
-      "lone\030\004 \001(\010\"\253\003\n\006Gossip\022(\n\004type\030\001 \001(\0162\032.en" +
-      "divestep.v1.Gossip.Type\022\014\n\004from\030\002 \001(\t\022\020\n" +
-      "\010sequence\030\003 \001(\003\022\016\n\006target\030\004 \001(\t\022\035\n\025confi" +
-      "guration_version\030\005 \001(\003\022&\n\007members\030\006 \003(\0132" +
-      "\025.endivestep.v1.Member\022,\n\nsuspicions\030\007 \003" +
-      "(\0132\030.endivestep.v1.Suspicion\022\016\n\006digest\030\010" +
-      " \001(\006\022*\n\toverrides\030\t \003(\0132\027.endivestep.v1." +
-      "Override\022\021\n\tstore_era\030\n \001(\003\022\031\n\021configura" +
-      "tion_era\030\013 \001(\003\022\036\n\026configuration_revision" +
-      "\030\014 \001(\003\"H\n\004Type\022\017\n\013UNSPECIFIED\020\000\022\010\n\004PING\020" +
-      "\001\022\007\n\003ACK\020\002\022\020\n\014PING_REQUEST\020\003\022\n\n\006UPDATE\020\004" +
-      "\"2\n\014SignedGossip\022\017\n\007payload\030\001 \001(\014\022\021\n\tsig" +
-      "nature\030\002 \001(\014\"f\n\017MembershipState\022\014\n\004from\030" +
-      "\001 \001(\t\022&\n\007members\030\002 \003(\0132\025.endivestep.v1.M" +
-      "ember\022\035\n\025configuration_version\030\003 \001(\003\"\021\n\017" +
-      "CountersRequest\"\214\001\n\010Counters\022\n\n\002vm\030\001 \001(\t" +
-      "\022\023\n\013data_centre\030\002 \001(\t\022\035\n\025configuration_v" +
-      "ersion\030\003 \001(\003\022-\n\010outcomes\030\004 \003(\0132\033.endives" +
-      "tep.v1.OutcomeCount\022\021\n\toverrides\030\005 \003(\t\"M" +
-      "\n\014OutcomeCount\022\017\n\007service\030\001 \001(\t\022\014\n\004kind\030" +
-      "\002 \001(\t\022\017\n\007outcome\030\003 \001(\t\022\r\n\005count\030\004 \001(\003\"\266\002" +
-      "\n\013ClaimRecord\022/\n\005state\030\001 \001(\0162 .endiveste" +
-      "p.v1.ClaimRecord.State\022\022\n\nattempt_id\030\002 \001" +
-      "(\t\022\n\n\002vm\030\003 \001(\t\022\017\n\007time_ms\030\004 \001(\003\022\023\n\013finge" +
-      "rprint\030\005 \001(\t\022\016\n\006status\030\006 \001(\005\022&\n\007headers\030" +
-      "\007 \003(\0132\025.endivestep.v1.Header\022\014\n\004body\030\010 \001" +
-      "(\014\022\021\n\tbody_kept\030\t \001(\010\"W\n\005State\022\017\n\013UNSPEC" +
-      "IFIED\020\000\022\013\n\007CLAIMED\020\001\022\r\n\tCOMPLETED\020\002\022\014\n\010R" +
-      "ELEASED\020\003\022\023\n\017UNKNOWN_OUTCOME\020\004\"4\n\nRendez" +
-      "vous\022&\n\007members\030\001 \003(\0132\025.endivestep.v1.Me" +
-      "mber\">\n\rSignInRefusal\022\014\n\004name\030\001 \001(\t\022\016\n\006s" +
-      "ource\030\002 \001(\t\022\017\n\007time_ms\030\003 \001(\003\"C\n\021SignInRe" +
-      "fusalList\022.\n\010refusals\030\001 \003(\0132\034.endivestep" +
-      ".v1.SignInRefusal2\226\001\n\tExchanges\022G\n\010Excha" +
-      "nge\022\033.endivestep.v1.RequestFrame\032\032.endiv" +
-      "estep.v1.AnswerFrame(\0010\001\022@\n\005Fence\022\033.endi" +
-      "vestep.v1.FenceRequest\032\032.endivestep.v1.F" +
-      "enceAnswer2\200\002\n\007Control\022]\n\022FetchConfigura" +
-      "tion\022#.endivestep.v1.ConfigurationReques" +
-      "t\032\".endivestep.v1.ConfigurationRecord\022M\n" +
-      "\013Synchronize\022\036.endivestep.v1.MembershipS" +
-      "tate\032\036.endivestep.v1.MembershipState\022G\n\014" +
-      "ReadCounters\022\036.endivestep.v1.CountersReq" +
-      "uest\032\027.endivestep.v1.CountersB\036\n\032org.end" +
-      "ivestep.protocol.v1P\001b\006proto3"
+      "\001(\010\022\024\n\007sent_ms\030\024 \001(\003H\000\210\001\001B\n\n\010_sent_ms\")\n" +
+      "\tBodyChunk\022\r\n\005index\030\001 \001(\005\022\r\n\005bytes\030\002 \001(\014" +
+      "\";\n\007BodyEnd\022\016\n\006frames\030\001 \001(\005\022\016\n\006length\030\002 " +
+      "\001(\003\022\020\n\010checksum\030\003 \001(\r\"\225\002\n\013AnswerFrame\022+\n" +
+      "\010admitted\030\001 \001(\0132\027.endivestep.v1.Admitted" +
+      "H\000\022(\n\007not_run\030\002 \001(\0132\025.endivestep.v1.NotR" +
+      "unH\000\022)\n\007unknown\030\003 \001(\0132\026.endivestep.v1.Un" +
+      "knownH\000\022)\n\004head\030\004 \001(\0132\031.endivestep.v1.An" +
+      "swerHeadH\000\022)\n\005chunk\030\005 \001(\0132\030.endivestep.v" +
+      "1.BodyChunkH\000\022%\n\003end\030\006 \001(\0132\026.endivestep." +
+      "v1.BodyEndH\000B\007\n\005frame\"Y\n\nLoadReport\022\021\n\ti" +
+      "n_flight\030\001 \001(\005\022\r\n\005limit\030\002 \001(\005\022\017\n\007waiting" +
+      "\030\003 \001(\005\022\030\n\020slowness_percent\030\004 \001(\005\"S\n\nLoad" +
+      "Notice\022\n\n\002vm\030\001 \001(\t\022\'\n\004load\030\002 \001(\0132\031.endiv" +
+      "estep.v1.LoadReport\022\020\n\010sequence\030\003 \001(\003\"3\n" +
+      "\010Admitted\022\'\n\004load\030\001 \001(\0132\031.endivestep.v1." +
+      "LoadReport\"P\n\006NotRun\022\016\n\006reason\030\001 \001(\t\022\'\n\004" +
+      "load\030\002 \001(\0132\031.endivestep.v1.LoadReport\022\r\n" +
+      "\005final\030\003 \001(\010\"B\n\007Unknown\022\016\n\006reason\030\001 \001(\t\022" +
+      "\'\n\004load\030\002 \001(\0132\031.endivestep.v1.LoadReport" +
+      "\"\271\001\n\nAnswerHead\022\022\n\nrequest_id\030\001 \001(\t\022\022\n\na" +
+      "ttempt_id\030\002 \001(\t\022\016\n\006status\030\003 \001(\005\022&\n\007heade" +
+      "rs\030\004 \003(\0132\025.endivestep.v1.Header\022\'\n\004load\030" +
+      "\005 \001(\0132\031.endivestep.v1.LoadReport\022\r\n\005whol" +
+      "e\030\006 \001(\010\022\023\n\013inline_body\030\007 \001(\014\"N\n\014FenceReq" +
+      "uest\022\022\n\nattempt_id\030\001 \001(\t\022\032\n\022daemon_incar" +
+      "nation\030\002 \001(\t\022\016\n\006age_ms\030\003 \001(\003\"\217\001\n\013FenceAn" +
+      "swer\022/\n\005state\030\001 \001(\0162 .endivestep.v1.Fenc" +
+      "eAnswer.State\"O\n\005State\022\017\n\013UNSPECIFIED\020\000\022" +
+      "\021\n\rNEVER_STARTED\020\001\022\013\n\007STARTED\020\002\022\025\n\021OTHER" +
+      "_INCARNATION\020\003\"X\n\024ConfigurationRequest\022\025" +
+      "\n\rknown_version\030\001 \001(\003\022\021\n\tknown_era\030\002 \001(\003" +
+      "\022\026\n\016known_revision\030\003 \001(\003\"\277\001\n\023Configurati" +
+      "onRecord\022\017\n\007version\030\001 \001(\003\022\020\n\010document\030\002 " +
+      "\001(\t\022*\n\006change\030\003 \001(\0132\032.endivestep.v1.Chan" +
+      "geEntry\022.\n\rlatest_states\030\004 \003(\0132\027.endives" +
+      "tep.v1.Override\022\021\n\tstore_era\030\005 \001(\003\022\026\n\016st" +
+      "ore_revision\030\006 \001(\003\"w\n\010Override\022\023\n\013data_c" +
+      "entre\030\001 \001(\t\022\r\n\005state\030\002 \001(\t\022\021\n\tchange_id\030" +
+      "\003 \001(\t\022\020\n\010operator\030\004 \001(\t\022\017\n\007time_ms\030\005 \001(\003" +
+      "\022\021\n\tstore_era\030\006 \001(\003\"\201\001\n\013ChangeEntry\022\021\n\tc" +
+      "hange_id\030\001 \001(\t\022\020\n\010operator\030\002 \001(\t\022\017\n\007time" +
+      "_ms\030\003 \001(\003\022\024\n\014from_version\030\004 \001(\003\022\022\n\nto_ve" +
+      "rsion\030\005 \001(\003\022\022\n\ndifference\030\006 \001(\t\"\304\002\n\006Memb" +
+      "er\022\n\n\002vm\030\001 \001(\t\022\014\n\004host\030\002 \001(\t\022\022\n\ninner_po" +
+      "rt\030\003 \001(\005\022\023\n\013data_centre\030\004 \001(\t\022\032\n\022daemon_" +
+      "incarnation\030\005 \001(\t\022\020\n\010sequence\030\006 \001(\003\022*\n\005s" +
+      "tate\030\007 \001(\0162\033.endivestep.v1.Member.State\022" +
+      "\017\n\007service\030\010 \001(\t\022\032\n\022worker_incarnation\030\t" +
+      " \001(\t\022\026\n\016worker_serving\030\n \001(\010\022\022\n\nadmin_po" +
+      "rt\030\013 \001(\005\"D\n\005State\022\017\n\013UNSPECIFIED\020\000\022\t\n\005AL" +
+      "IVE\020\001\022\013\n\007SUSPECT\020\002\022\010\n\004DEAD\020\003\022\010\n\004LEFT\020\004\"T" +
+      "\n\tSuspicion\022\023\n\013fingerprint\030\001 \001(\t\022\016\n\006deat" +
+      "hs\030\002 \003(\t\022\024\n\014remaining_ms\030\003 \001(\003\022\014\n\004lone\030\004" +
+      " \001(\010\"\253\003\n\006Gossip\022(\n\004type\030\001 \001(\0162\032.endivest" +
+      "ep.v1.Gossip.Type\022\014\n\004from\030\002 \001(\t\022\020\n\010seque" +
+      "nce\030\003 \001(\003\022\016\n\006target\030\004 \001(\t\022\035\n\025configurati" +
+      "on_version\030\005 \001(\003\022&\n\007members\030\006 \003(\0132\025.endi" +
+      "vestep.v1.Member\022,\n\nsuspicions\030\007 \003(\0132\030.e" +
+      "ndivestep.v1.Suspicion\022\016\n\006digest\030\010 \001(\006\022*" +
+      "\n\toverrides\030\t \003(\0132\027.endivestep.v1.Overri" +
+      "de\022\021\n\tstore_era\030\n \001(\003\022\031\n\021configuration_e" +
+      "ra\030\013 \001(\003\022\036\n\026configuration_revision\030\014 \001(\003" +
+      "\"H\n\004Type\022\017\n\013UNSPECIFIED\020\000\022\010\n\004PING\020\001\022\007\n\003A" +
+      "CK\020\002\022\020\n\014PING_REQUEST\020\003\022\n\n\006UPDATE\020\004\"2\n\014Si" +
+      "gnedGossip\022\017\n\007payload\030\001 \001(\014\022\021\n\tsignature" +
+      "\030\002 \001(\014\"f\n\017MembershipState\022\014\n\004from\030\001 \001(\t\022" +
+      "&\n\007members\030\002 \003(\0132\025.endivestep.v1.Member\022" +
+      "\035\n\025configuration_version\030\003 \001(\003\"\021\n\017Counte" +
+      "rsRequest\"\214\001\n\010Counters\022\n\n\002vm\030\001 \001(\t\022\023\n\013da" +
+      "ta_centre\030\002 \001(\t\022\035\n\025configuration_version" +
+      "\030\003 \001(\003\022-\n\010outcomes\030\004 \003(\0132\033.endivestep.v1" +
+      ".OutcomeCount\022\021\n\toverrides\030\005 \003(\t\"M\n\014Outc" +
+      "omeCount\022\017\n\007service\030\001 \001(\t\022\014\n\004kind\030\002 \001(\t\022" +
+      "\017\n\007outcome\030\003 \001(\t\022\r\n\005count\030\004 \001(\003\"\266\002\n\013Clai" +
+      "mRecord\022/\n\005state\030\001 \001(\0162 .endivestep.v1.C" +
+      "laimRecord.State\022\022\n\nattempt_id\030\002 \001(\t\022\n\n\002" +
+      "vm\030\003 \001(\t\022\017\n\007time_ms\030\004 \001(\003\022\023\n\013fingerprint" +
+      "\030\005 \001(\t\022\016\n\006status\030\006 \001(\005\022&\n\007headers\030\007 \003(\0132" +
+      "\025.endivestep.v1.Header\022\014\n\004body\030\010 \001(\014\022\021\n\t" +
+      "body_kept\030\t \001(\010\"W\n\005State\022\017\n\013UNSPECIFIED\020" +
+      "\000\022\013\n\007CLAIMED\020\001\022\r\n\tCOMPLETED\020\002\022\014\n\010RELEASE" +
+      "D\020\003\022\023\n\017UNKNOWN_OUTCOME\020\004\"4\n\nRendezvous\022&" +
+      "\n\007members\030\001 \003(\0132\025.endivestep.v1.Member\">" +
+      "\n\rSignInRefusal\022\014\n\004name\030\001 \001(\t\022\016\n\006source\030" +
+      "\002 \001(\t\022\017\n\007time_ms\030\003 \001(\003\"C\n\021SignInRefusalL" +
+      "ist\022.\n\010refusals\030\001 \003(\0132\034.endivestep.v1.Si" +
+      "gnInRefusal2\226\001\n\tExchanges\022G\n\010Exchange\022\033." +
+      "endivestep.v1.RequestFrame\032\032.endivestep." +
+      "v1.AnswerFrame(\0010\001\022@\n\005Fence\022\033.endivestep" +
+      ".v1.FenceRequest\032\032.endivestep.v1.FenceAn" +
+      "swer2\200\002\n\007Control\022]\n\022FetchConfiguration\022#" +
+      ".endivestep.v1.ConfigurationRequest\032\".en" +
+      "divestep.v1.ConfigurationRecord\022M\n\013Synch" +
+      "ronize\022\036.endivestep.v1.MembershipState\032\036" +
+      ".endivestep.v1.MembershipState\022G\n\014ReadCo" +
+      "unters\022\036.endivestep.v1.CountersRequest\032\027" +
+      ".endivestep.v1.CountersB\036\n\032org.endiveste" +
+      "p.protocol.v1P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -321,7 +322,7 @@
     internal_static_endivestep_v1_RequestHead_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_RequestHead_descriptor,
-        new java.lang.String[] { "RequestId", "AttemptId", "Service", "Kind", "Method", "Path", "Headers", "RemainingMs", "DaemonIncarnation", "InlineBody", "StreamedBody", "BodyLength", "Fingerprint", "ConfigurationVersion", "Priority", "ObjectiveMs", "PatienceMs", "Nested", "Repeated", });
+        new java.lang.String[] { "RequestId", "AttemptId", "Service", "Kind", "Method", "Path", "Headers", "RemainingMs", "DaemonIncarnation", "InlineBody", "StreamedBody", "BodyLength", "Fingerprint", "ConfigurationVersion", "Priority", "ObjectiveMs", "PatienceMs", "Nested", "Repeated", "SentMs", });
     internal_static_endivestep_v1_BodyChunk_descriptor =
       getDescriptor().getMessageTypes().get(3);
     internal_static_endivestep_v1_BodyChunk_fieldAccessorTable = new
--- a/protocol/src/main/java/org/endivestep/protocol/v1/RequestHead.java
+++ b/protocol/src/main/java/org/endivestep/protocol/v1/RequestHead.java
@@ -53,6 +53,7 @@
             org.endivestep.protocol.v1.RequestHead.class, org.endivestep.protocol.v1.RequestHead.Builder.class);
   }
 
+  private int bitField0_;
   public static final int REQUEST_ID_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object requestId_ = "";
@@ -540,6 +541,33 @@
     return repeated_;
   }
 
+  public static final int SENT_MS_FIELD_NUMBER = 20;
+  private long sentMs_ = 0L;
+  /**
+   * <pre>
+   * When the head was sent, in ms of the sender's monotonic clock; only differences within a connection are meaningful.
+   * </pre>
+   *
+   * <code>optional int64 sent_ms = 20;</code>
+   * @return Whether the sentMs field is set.
+   */
+  @java.lang.Override
+  public boolean hasSentMs() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * When the head was sent, in ms of the sender's monotonic clock; only differences within a connection are meaningful.
+   * </pre>
+   *
+   * <code>optional int64 sent_ms = 20;</code>
+   * @return The sentMs.
+   */
+  @java.lang.Override
+  public long getSentMs() {
+    return sentMs_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -611,6 +639,9 @@
     if (repeated_ != false) {
       output.writeBool(19, repeated_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeInt64(20, sentMs_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -688,6 +719,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(19, repeated_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(20, sentMs_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -741,6 +776,11 @@
         != other.getNested()) return false;
     if (getRepeated()
         != other.getRepeated()) return false;
+    if (hasSentMs() != other.hasSentMs()) return false;
+    if (hasSentMs()) {
+      if (getSentMs()
+          != other.getSentMs()) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -800,6 +840,11 @@
     hash = (37 * hash) + REPEATED_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getRepeated());
+    if (hasSentMs()) {
+      hash = (37 * hash) + SENT_MS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getSentMs());
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -956,6 +1001,7 @@
       patienceMs_ = 0L;
       nested_ = false;
       repeated_ = false;
+      sentMs_ = 0L;
       return this;
     }
 
@@ -1056,6 +1102,12 @@
       if (((from_bitField0_ & 0x00040000) != 0)) {
         result.repeated_ = repeated_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00080000) != 0)) {
+        result.sentMs_ = sentMs_;
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -1166,6 +1218,9 @@
       if (other.getRepeated() != false) {
         setRepeated(other.getRepeated());
       }
+      if (other.hasSentMs()) {
+        setSentMs(other.getSentMs());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1295,6 +1350,11 @@
               bitField0_ |= 0x00040000;
               break;
             } // case 152
+            case 160: {
+              sentMs_ = input.readInt64();
+              bitField0_ |= 0x00080000;
+              break;
+            } // case 160
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2520,6 +2580,62 @@
       return this;
     }
 
+    private long sentMs_ ;
+    /**
+     * <pre>
+     * When the head was sent, in ms of the sender's monotonic clock; only differences within a connection are meaningful.
+     * </pre>
+     *
+     * <code>optional int64 sent_ms = 20;</code>
+     * @return Whether the sentMs field is set.
+     */
+    @java.lang.Override
+    public boolean hasSentMs() {
+      return ((bitField0_ & 0x00080000) != 0);
+    }
+    /**
+     * <pre>
+     * When the head was sent, in ms of the sender's monotonic clock; only differences within a connection are meaningful.
+     * </pre>
+     *
+     * <code>optional int64 sent_ms = 20;</code>
+     * @return The sentMs.
+     */
+    @java.lang.Override
+    public long getSentMs() {
+      return sentMs_;
+    }
+    /**
+     * <pre>
+     * When the head was sent, in ms of the sender's monotonic clock; only differences within a connection are meaningful.
+     * </pre>
+     *
+     * <code>optional int64 sent_ms = 20;</code>
+     * @param value The sentMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSentMs(long value) {
+
+      sentMs_ = value;
+      bitField0_ |= 0x00080000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * When the head was sent, in ms of the sender's monotonic clock; only differences within a connection are meaningful.
+     * </pre>
+     *
+     * <code>optional int64 sent_ms = 20;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSentMs() {
+      bitField0_ = (bitField0_ & ~0x00080000);
+      sentMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:endivestep.v1.RequestHead)
   }
 
--- a/protocol/src/main/java/org/endivestep/protocol/v1/RequestHeadOrBuilder.java
+++ b/protocol/src/main/java/org/endivestep/protocol/v1/RequestHeadOrBuilder.java
@@ -213,4 +213,23 @@
    * @return The repeated.
    */
   boolean getRepeated();
+
+  /**
+   * <pre>
+   * When the head was sent, in ms of the sender's monotonic clock; only differences within a connection are meaningful.
+   * </pre>
+   *
+   * <code>optional int64 sent_ms = 20;</code>
+   * @return Whether the sentMs field is set.
+   */
+  boolean hasSentMs();
+  /**
+   * <pre>
+   * When the head was sent, in ms of the sender's monotonic clock; only differences within a connection are meaningful.
+   * </pre>
+   *
+   * <code>optional int64 sent_ms = 20;</code>
+   * @return The sentMs.
+   */
+  long getSentMs();
 }
