Keep the measurement of crossings in one function, and the linter clean

A server that measures crossings needs a filter and an interceptor; CrossingDelay.measureOn adds both, so that tests can use it. An attempt that was cancelled before its thread began is ended where the thread begins, and a caller's leaving is looked at where the next worker is chosen: the functions before were too complex for the linter. No decision changes.

--- a/endivestep/src/main/kotlin/org/endivestep/daemon/InnerServer.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/InnerServer.kt
@@ -37,8 +37,7 @@
         .flowControlWindow(FLOW_WINDOW_BYTES)
         .permitKeepAliveTime(KEEP_ALIVE_PERMITTED_SECONDS, TimeUnit.SECONDS)
         .permitKeepAliveWithoutCalls(true)
-        .addTransportFilter(CrossingDelay.transportFilter)
-        .intercept(CrossingDelay.interceptor)
+        .apply { CrossingDelay.measureOn(this) }
         .apply { interceptors.forEach(::intercept) }
         .apply { services.forEach(::addService) }
         .build()
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
@@ -60,7 +60,6 @@
         val history = AttemptHistory()
         var attemptId = firstAttempt
         while (true) {
-            if (call.cancellation.isCancelled) throw InterruptedException("the caller has left")
             val windowMs = sendWindowMs(call)
             if (windowMs <= 0) return history.outcome() ?: AttemptResult.NotRun(NotRunReason.LEAVING)
             val route = chooseRoute(call, history) ?: return history.outcome() ?: AttemptResult.NotRun(NotRunReason.NO_WORKER)
@@ -94,6 +93,7 @@
         )
 
     private fun chooseRoute(call: IncomingCall, history: AttemptHistory): Route? {
+        if (call.cancellation.isCancelled) throw InterruptedException("the caller has left")
         val routes = lookup(call.service.name).filterNot { history.wasTried(it.candidate.vm) }
         if (routes.isEmpty()) return null
         val chosen: Candidate =
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/CrossingDelay.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/CrossingDelay.kt
@@ -4,6 +4,7 @@
 import io.grpc.Context
 import io.grpc.Contexts
 import io.grpc.Metadata
+import io.grpc.ServerBuilder
 import io.grpc.ServerCall
 import io.grpc.ServerCallHandler
 import io.grpc.ServerInterceptor
@@ -46,18 +47,24 @@
         private val attribute: Attributes.Key<CrossingDelay> = Attributes.Key.create("crossing-delay")
         private val contextKey: Context.Key<CrossingDelay> = Context.key("crossing-delay")
 
+        /** Measures the crossings on each connection of [server]; see [ofCurrentCall]. */
+        fun measureOn(server: ServerBuilder<*>) {
+            server.addTransportFilter(transportFilter)
+            server.intercept(interceptor)
+        }
+
         /** The one of the connection on which the current call came, or null when its server does not keep any. */
         val ofCurrentCall: CrossingDelay? get() = contextKey.get()
 
-        /** Gives each connection of a server a [CrossingDelay]. */
-        val transportFilter: ServerTransportFilter =
+        // Gives each connection of a server a CrossingDelay.
+        private val transportFilter: ServerTransportFilter =
             object : ServerTransportFilter() {
                 override fun transportReady(attributes: Attributes): Attributes =
                     attributes.toBuilder().set(attribute, CrossingDelay()).build()
             }
 
-        /** Lets the handler of a call find the [CrossingDelay] of its connection. */
-        val interceptor: ServerInterceptor =
+        // Lets the handler of a call find the CrossingDelay of its connection.
+        private val interceptor: ServerInterceptor =
             object : ServerInterceptor {
                 override fun <Q, A> interceptCall(
                     call: ServerCall<Q, A>,
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ServedExchange.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ServedExchange.kt
@@ -57,6 +57,7 @@
 
     @Suppress("TooGenericExceptionCaught") // After any failure the remote daemon must see the stream end.
     fun serve() {
+        if (cancellation.isCancelled) return
         synchronized(this) { runner = Thread.currentThread() }
         try {
             answer()
@@ -71,7 +72,6 @@
     }
 
     private fun answer() {
-        if (cancellation.isCancelled) throw IOException("the calling daemon cancelled the exchange")
         val first = inbox.next(HEAD_TIMEOUT_MS) as? ReceiveResult.Frame ?: throw IOException("no request head received")
         if (!first.frame.hasHead()) throw IOException("the first frame is not a request head")
         val head = first.frame.head
