--- a/emulator/src/test/kotlin/org/endivestep/emulator/DelayedDaemonsProcessTest.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/DelayedDaemonsProcessTest.kt
@@ -105,7 +105,7 @@
             calling.all { runCatching { fleet.send(it, HOST, "/reads/1").statusCode() }.getOrNull() == 200 }
         }
 
-    /** Sends [REQUESTS] while all daemons run for [runMs] and are stopped for [stopMs] by turns; returns their callers when all have left. */
+    /** Sends [REQUESTS] while all daemons run for [runMs] and stop for [stopMs] by turns; returns their callers, which have left. */
     fun sendWhileDelayed(runMs: Long, stopMs: Long): List<DeadlineCaller> {
         val random = Random(SEED)
         val callers = (0 until REQUESTS).map { DeadlineCaller("r$it", calling[random.nextInt(calling.size)].callerPort) }
--- a/endivestep/src/test/kotlin/org/endivestep/fakes/WireFixture.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/fakes/WireFixture.kt
@@ -9,6 +9,7 @@
 import org.endivestep.exchange.monotonicMs
 import org.endivestep.identity.DaemonIncarnation
 import org.endivestep.protocol.AdmissionNotices
+import org.endivestep.protocol.CrossingDelay
 import org.endivestep.protocol.ExchangeClient
 import org.endivestep.protocol.ExchangeServer
 import org.endivestep.protocol.Peer
@@ -47,6 +48,7 @@
                     }
                 },
             )
+            .apply { CrossingDelay.measureOn(this) }
             .callExecutor(callExecutorSupplier(threads))
             .addService(ExchangeServer(fixture.egress, { incarnation }, threads, notices))
             .build()
--- a/endivestep/src/test/kotlin/org/endivestep/ingress/DepartedCallerTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/ingress/DepartedCallerTest.kt
@@ -56,7 +56,8 @@
             CallerServerFixture({ reply() }).use { server ->
                 val release = CountDownLatch(1)
                 server.stall(release)
-                val sockets = (1..CALLERS).map { server.connect().also { socket -> socket.getOutputStream().write(get("/a").toByteArray()) } }
+                val sockets = (1..CALLERS).map { server.connect() }
+                sockets.forEach { it.getOutputStream().write(get("/a").toByteArray()) }
                 release.countDown()
                 sockets.forEach { socket -> socket.use { it.getInputStream().read() shouldBe 'H'.code } }
             }
--- a/endivestep/src/test/kotlin/org/endivestep/protocol/CrossingDelayTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/protocol/CrossingDelayTest.kt
@@ -28,7 +28,10 @@
                         Message(1_900, 72_200, 0),
                     ),
                 ),
-                Case("a connection that was idle for long", listOf(Message(0, 70_000, 0), Message(9_000, 79_400, 0), Message(9_100, 79_550, 50))),
+                Case(
+                    "a connection that was idle for long",
+                    listOf(Message(0, 70_000, 0), Message(9_000, 79_400, 0), Message(9_100, 79_550, 50)),
+                ),
             ).forEach { case ->
                 val delay = CrossingDelay(WINDOW_MS)
                 case.messages.forEachIndexed { index, message ->
