Bound the counted wait in the wire test by what the test itself measures

The test took the usual way of a message for 0 ms. The daemon counts what a message takes beyond the usual way of its connection, which was some milliseconds under that load. Both bounds now follow from times that the test takes: not more may be left than the deadline less the added delay, plus the usual way; not less than the deadline less the whole way. The lower bound is stricter than before, and neither depends on how soon a thread runs.

--- a/endivestep/src/test/kotlin/org/endivestep/protocol/DepartedCallerWireTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/protocol/DepartedCallerWireTest.kt
@@ -22,25 +22,40 @@
 private const val CROSSING_MS = 150L
 private const val DEADLINE_MS = 2_000L
 
+/** Of the times in whole ms that are compared. */
+private const val ROUNDING_MS = 3L
+
+private class Arrival(val atMs: Long, val remainingMs: Long)
+
+/** A request that took [wayMs] to its worker, where [remainingMs] of its deadline were left. */
+private class SentRequest(val wayMs: Long, val remainingMs: Long)
+
 private fun AttemptResult.close() = (this as? AttemptResult.Answered)?.body?.close()
 
 class DepartedCallerWireTest :
     FunSpec({
         // Guards against a deadline that starts anew at the worker's daemon, however long the request was on its way.
         test("the time that a request waits between two daemons counts against its deadline") {
-            val remainingMs = LinkedBlockingQueue<Long>()
+            val arrivals = LinkedBlockingQueue<Arrival>()
             val worker: WorkerCall = { local, request ->
-                remainingMs += request.deadline.remainingMs(monotonicMs())
+                val nowMs = monotonicMs()
+                arrivals += Arrival(nowMs, request.deadline.remainingMs(nowMs))
                 answering()(local, request)
             }
             WireFixture(EgressFixture(worker = worker)).use { wire ->
-                // Each of the two connections to a peer learns its usual delay.
-                repeat(4) { wire.client.attempt(wire.peer, sampleAttempt("calm-$it")).close() }
-                remainingMs.clear()
+                fun send(id: String): SentRequest {
+                    val sentMs = monotonicMs()
+                    wire.client.attempt(wire.peer, sampleAttempt(id, remainingMs = DEADLINE_MS, nowMs = sentMs)).close()
+                    val arrival = arrivals.poll(5, TimeUnit.SECONDS)!!
+                    return SentRequest(arrival.atMs - sentMs, arrival.remainingMs)
+                }
+                // Each of the two connections to a peer learns its usual delay, which is at most the time of its last calm request.
+                val calm = (1..4).map { send("calm-$it") }
+                val usualMs = calm.takeLast(2).maxOf { it.wayMs }
                 wire.proxy.fault = LinkFault(delayMs = CROSSING_MS)
-                wire.client.attempt(wire.peer, sampleAttempt("late", remainingMs = DEADLINE_MS)).close()
-                // A quarter for threads that start late.
-                remainingMs.poll(5, TimeUnit.SECONDS)!! shouldBeInRange DEADLINE_MS * 3 / 4 - CROSSING_MS..DEADLINE_MS - CROSSING_MS
+                val late = send("late")
+                val mostMs = DEADLINE_MS - CROSSING_MS + usualMs + ROUNDING_MS
+                late.remainingMs shouldBeInRange DEADLINE_MS - late.wayMs - ROUNDING_MS..mostMs
             }
         }
 
