Take the body of an upload only when the worker that runs it is connected

Cause: the daemon beside the worker sent the notice of admission before it connected to the worker, and the calling daemon began the body on that notice. When the connection was refused, a part of the body was gone, so the upload could not be sent to another worker whole. A guard in the dispatcher alone kept it from being sent in part.

Change: the notice for a streamed body is sent when the worker's client opens the body, which it does after it has connected. A body can be opened once, and an attempt cannot be made of a body that was opened, whichever way a request is sent again.

Evidence: UploadToCrashedWorkerTest failed before for a body with a length ("isOpened: expected false but was true") and passes now for a length and for chunks; the new case of StreamedBodyResendTest failed before (no exception). Ruled out: the reroute of a begun body, which the dispatcher refuses already.

--- a/endivestep/src/main/kotlin/org/endivestep/exchange/AttemptRequest.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/exchange/AttemptRequest.kt
@@ -7,6 +7,7 @@
 import org.endivestep.identity.ServiceName
 import org.endivestep.outcome.HeaderField
 import java.io.InputStream
+import java.util.concurrent.atomic.AtomicBoolean
 
 /** Maximum size in bytes of a body that is kept in memory, so that it can be sent again. */
 internal const val MAX_INLINE_BODY_BYTES = 65_536
@@ -15,22 +16,26 @@
 internal sealed interface RequestBody {
     class Inline(val bytes: ByteArray) : RequestBody
 
-    /** A body that can be read only once. [length] is in bytes, -1 when unknown. */
-    class Streamed(private val stream: InputStream, val length: Long) : RequestBody {
+    /** A body that can be read only once. [length] is in bytes, -1 when unknown. [onOpen] is called before the body is read. */
+    class Streamed(private val stream: InputStream, val length: Long, private val onOpen: () -> Unit = { }) : RequestBody {
+        private val opened = AtomicBoolean()
+
         /** Whether somebody reads the body or is about to; after that it cannot be sent again from its beginning. */
-        @Volatile
-        var isOpened = false
-            private set
+        val isOpened: Boolean get() = opened.get()
 
-        /** Returns the stream to its only reader. To be called before the reading is left to another thread. */
+        /**
+         * Returns the stream to its only reader. To be called when the receiver is known to take the body, and before the reading
+         * is left to another thread. Throws [IllegalStateException] when the body was opened before.
+         */
         fun open(): InputStream {
-            isOpened = true
+            check(opened.compareAndSet(false, true)) { "the body was already opened" }
+            onOpen()
             return stream
         }
     }
 }
 
-/** One attempt of a request at one worker. [path] includes the query. */
+/** One attempt of a request at one worker, with the whole [body]. [path] includes the query. */
 internal class AttemptRequest(
     val requestId: RequestId,
     val attemptId: AttemptId,
@@ -48,6 +53,10 @@
     /** Tells whether anybody still waits for the answer. */
     val cancellation: Cancellation = Cancellation(),
 ) {
+    init {
+        require((body as? RequestBody.Streamed)?.isOpened != true) { "an attempt needs the whole body, and a part of it was read" }
+    }
+
     /** Whether the request may still be sent to a worker: somebody waits for its answer, and not only until [nowMs]. */
     fun isNeeded(nowMs: Long): Boolean = !cancellation.isCancelled && deadline.remainingMs(nowMs) > 0
 
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ServedExchange.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ServedExchange.kt
@@ -82,10 +82,10 @@
         finish(egress.run(request(head)) { admitted(head) }, head)
     }
 
-    // A caller waits for the notice before it sends a streamed body.
+    // The calling daemon sends a streamed body on the notice, which must therefore wait until the worker takes the body.
     private fun admitted(head: RequestHead) {
         if (stream.isCancelled) throw IOException("the calling daemon cancelled the exchange")
-        if (head.streamedBody) sendNotice() else notices.admitted(this)
+        if (!head.streamedBody) notices.admitted(this)
     }
 
     override fun sendNotice() {
@@ -155,7 +155,7 @@
 
     private fun body(head: RequestHead): RequestBody {
         if (!head.streamedBody) return RequestBody.Inline(head.inlineBody.toByteArray())
-        return RequestBody.Streamed(BodyInputStream(::nextBodyFrame) { }, head.bodyLength)
+        return RequestBody.Streamed(BodyInputStream(::nextBodyFrame) { }, head.bodyLength, onOpen = ::sendNotice)
     }
 
     private fun nextBodyFrame(): BodyFrame = inbox.nextBodyFrame(::bodyFrame)
--- a/endivestep/src/test/kotlin/org/endivestep/ingress/StreamedBodyResendTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/ingress/StreamedBodyResendTest.kt
@@ -1,5 +1,6 @@
 package org.endivestep.ingress
 
+import io.kotest.assertions.throwables.shouldThrow
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
@@ -10,6 +11,7 @@
 import org.endivestep.exchange.RequestBody
 import org.endivestep.exchange.monotonicMs
 import org.endivestep.fakes.roundRobin
+import org.endivestep.fakes.sampleAttempt
 import org.endivestep.fakes.sampleDocument
 import org.endivestep.identity.AttemptId
 import org.endivestep.identity.Fingerprint
@@ -116,6 +118,14 @@
             }
         }
 
+        // Guards against a second attempt that takes the rest of a body for the whole.
+        test("no attempt can be made of a body that was begun") {
+            val body = RequestBody.Streamed(whole.inputStream(), -1)
+            body.open().read()
+            shouldThrow<IllegalArgumentException> { sampleAttempt(body = body) }
+            shouldThrow<IllegalStateException> { body.open() }
+        }
+
         test("a body that nobody has read is sent to another worker") {
             val refused = AttemptResult.NotRun(NotRunReason.WORKER_UNREACHABLE)
             listOf(true, false).forEach { streamed ->
