--- a/endivestep/src/main/kotlin/org/endivestep/daemon/HeartbeatReceiver.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/HeartbeatReceiver.kt
@@ -43,8 +43,9 @@
         val slots = if (heartbeat.service == null) known?.capacity?.slots ?: 0 else heartbeat.slots
         val startedMs = if (heartbeat.startedMs == 0L) known?.capacity?.startedMs ?: 0 else heartbeat.startedMs
         supervisor.markCold(service, heartbeat.coldMs)
+        val version = heartbeat.version ?: known?.version?.takeIf { known.incarnation == heartbeat.incarnation }
         supervisor.announce(
-            Announcement(service, address, heartbeat.incarnation, heartbeat.leaving, WorkerCapacity(slots, startedMs)),
+            Announcement(service, address, heartbeat.incarnation, heartbeat.leaving, WorkerCapacity(slots, startedMs), version),
         )
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/WorkerSupervisor.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/WorkerSupervisor.kt
@@ -85,7 +85,8 @@
 
     private fun publishWorker(worker: LocalWorker) {
         val announcement = worker.announcement
-        val info = WorkerInfo(announcement.service, announcement.incarnation, worker.phase == WorkerPhase.SERVING)
+        val serving = worker.phase == WorkerPhase.SERVING
+        val info = WorkerInfo(announcement.service, announcement.incarnation, serving, announcement.version)
         gossip.updateSelf { it.copy(worker = info) }
     }
 
--- a/endivestep/src/main/kotlin/org/endivestep/document/Document.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/document/Document.kt
@@ -11,6 +11,7 @@
     val quarantine: QuarantineSettings,
     val routes: RouteTable = RouteTable(emptyList()),
     val callers: CallerLimits = CallerLimits(),
+    val teams: TeamTable = TeamTable(emptyList()),
 ) {
     fun isIn(dataCentre: DataCentreName): Boolean = dataCentres[dataCentre]?.state == DataCentreState.IN
 }
--- a/endivestep/src/main/kotlin/org/endivestep/document/RouteRule.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/document/RouteRule.kt
@@ -7,7 +7,8 @@
  * Routing rule for the requests to one host below one path prefix. Durations are in ms.
  *
  * An answer within [objectiveMs] is in time; a request without an answer after [timeoutMs] times out.
- * [priority] 0 is the highest. A request is attempted at most [maxAttempts] times, not counting reroutes.
+ * [priority] 0 is the highest. A request is attempted at most [maxAttempts] times, not counting reroutes. Callers of a
+ * [isPublic] route need no key.
  */
 internal data class RouteRule(
     val name: KindName,
@@ -19,6 +20,7 @@
     val timeoutMs: Long,
     val maxAttempts: Int,
     val priority: Int,
+    val isPublic: Boolean = false,
 ) {
     init {
         require(destinations.isNotEmpty()) { "route ${name.text} has no destination" }
--- a/endivestep/src/main/kotlin/org/endivestep/egress/WorkerHeartbeat.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/WorkerHeartbeat.kt
@@ -2,6 +2,7 @@
 
 import org.endivestep.identity.ServiceName
 import org.endivestep.identity.WorkerIncarnation
+import org.endivestep.identity.WorkerVersion
 
 /**
  * Status that this daemon's worker reports periodically.
@@ -18,6 +19,8 @@
     val slots: Int,
     val coldMs: Long,
     val leaving: Boolean,
+    /** Version of the worker's software, null when the heartbeat does not report it. */
+    val version: WorkerVersion? = null,
 )
 
 /**
--- a/endivestep/src/main/kotlin/org/endivestep/egress/WorkerRegistry.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/WorkerRegistry.kt
@@ -3,6 +3,7 @@
 import org.endivestep.identity.ServiceName
 import org.endivestep.identity.WorkerIncarnation
 import org.endivestep.identity.WorkerRunId
+import org.endivestep.identity.WorkerVersion
 import org.endivestep.identity.workerRunId
 import org.endivestep.settings.Address
 
@@ -13,6 +14,7 @@
     val incarnation: WorkerIncarnation,
     val leaving: Boolean,
     val capacity: WorkerCapacity? = null,
+    val version: WorkerVersion? = null,
 ) {
     val run: WorkerRunId get() = workerRunId(incarnation, startedMs)
 
--- a/endivestep/src/main/kotlin/org/endivestep/exchange/MessageHeaders.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/exchange/MessageHeaders.kt
@@ -14,4 +14,8 @@
     val retryAfter: String,
     /** On a worker's answer: proof that the worker gave it; null where workers do not sign their answers. */
     val signature: String? = null,
+    /** Key by which a caller identifies its team; it is not passed on. */
+    val credentials: String = "Authorization",
+    /** On a request to a worker: team of the caller; null where workers are not told. */
+    val team: String? = null,
 )
--- a/endivestep/src/main/kotlin/org/endivestep/identity/Ids.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/identity/Ids.kt
@@ -41,6 +41,14 @@
 @JvmInline
 internal value class AttemptId(val text: String)
 
+/** Name of a team whose callers share an API key and a quota. */
+@JvmInline
+internal value class TeamName(val text: String)
+
+/** Version of the software of a worker, as the worker reports it. */
+@JvmInline
+internal value class WorkerVersion(val text: String)
+
 /** Digest of a request's method, path and body, whoever sent it and whichever service runs it. */
 @JvmInline
 internal value class RequestSignature(val text: String)
--- a/endivestep/src/main/kotlin/org/endivestep/membership/MemberInfo.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/membership/MemberInfo.kt
@@ -5,13 +5,19 @@
 import org.endivestep.identity.ServiceName
 import org.endivestep.identity.VmName
 import org.endivestep.identity.WorkerIncarnation
+import org.endivestep.identity.WorkerVersion
 import org.endivestep.settings.Address
 
 /** Liveness of a daemon as seen by others. For the same sequence, a later constant supersedes an earlier one. */
 internal enum class MemberState { ALIVE, SUSPECT, DEAD, LEFT }
 
-/** The local worker of a daemon, as announced by the worker. */
-internal data class WorkerInfo(val service: ServiceName, val incarnation: WorkerIncarnation, val serving: Boolean)
+/** The local worker of a daemon, as announced by the worker. [version] is null until the worker has reported it. */
+internal data class WorkerInfo(
+    val service: ServiceName,
+    val incarnation: WorkerIncarnation,
+    val serving: Boolean,
+    val version: WorkerVersion? = null,
+)
 
 /**
  * One daemon and its worker.
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/GossipCodec.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/GossipCodec.kt
@@ -11,6 +11,7 @@
 import org.endivestep.identity.VmName
 import org.endivestep.identity.WorkerIncarnation
 import org.endivestep.identity.WorkerRunId
+import org.endivestep.identity.WorkerVersion
 import org.endivestep.membership.GossipMessage
 import org.endivestep.membership.GossipType
 import org.endivestep.membership.MemberInfo
@@ -80,6 +81,7 @@
             .setState(wireStates.getValue(state))
     worker?.let {
         builder.setService(it.service.text).setWorkerIncarnation(it.incarnation.text).setWorkerServing(it.serving)
+        it.version?.let { version -> builder.setWorkerVersion(version.text) }
     }
     return builder.build()
 }
@@ -87,7 +89,8 @@
 /** Returns the member, or null when this version does not know its state. */
 internal fun Member.toInfo(): MemberInfo? {
     val known = states[state] ?: return null
-    val worker = WorkerInfo(ServiceName(service), WorkerIncarnation(workerIncarnation), workerServing)
+    val version = workerVersion.takeIf { it.isNotEmpty() }?.let(::WorkerVersion)
+    val worker = WorkerInfo(ServiceName(service), WorkerIncarnation(workerIncarnation), workerServing, version)
     return MemberInfo(
         vm = VmName(vm),
         inner = Address(host, innerPort),
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ServedExchange.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ServedExchange.kt
@@ -18,6 +18,7 @@
 import org.endivestep.identity.KindName
 import org.endivestep.identity.RequestId
 import org.endivestep.identity.ServiceName
+import org.endivestep.identity.TeamName
 import org.endivestep.outcome.AttemptResult
 import org.endivestep.outcome.NotRunReason
 import org.endivestep.protocol.v1.Admitted
@@ -147,12 +148,14 @@
             body = body(head),
             deadline = Deadline(sentMs + head.remainingMs),
             fingerprint = Fingerprint(head.fingerprint),
-            rank = RequestRank(head.priority, sentMs + head.objectiveMs, head.nested, head.repeated),
+            rank = RequestRank(head.priority, sentMs + head.objectiveMs, head.nested, head.repeated, team(head)),
             maxWaitMs = head.patienceMs,
             cancellation = cancellation,
         )
     }
 
+    private fun team(head: RequestHead): TeamName? = head.team.takeIf { it.isNotEmpty() }?.let(::TeamName)
+
     private fun body(head: RequestHead): RequestBody {
         if (!head.streamedBody) return RequestBody.Inline(head.inlineBody.toByteArray())
         return RequestBody.Streamed(BodyInputStream(::nextBodyFrame) { }, head.bodyLength, onOpen = ::sendNotice)
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/WireCodec.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/WireCodec.kt
@@ -49,6 +49,7 @@
             .setNested(rank.nested)
             .setRepeated(rank.repeated)
             .setSentMs(nowMs)
+    rank.team?.let { builder.setTeam(it.text) }
     when (val body = body) {
         is RequestBody.Inline -> builder.setInlineBody(UnsafeByteOperations.unsafeWrap(body.bytes))
         is RequestBody.Streamed -> builder.setStreamedBody(true).setBodyLength(body.length)
--- a/protocol/src/main/java/org/endivestep/protocol/v1/Endivestep.java
+++ b/protocol/src/main/java/org/endivestep/protocol/v1/Endivestep.java
@@ -131,6 +131,51 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_endivestep_v1_Gossip_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_endivestep_v1_FreshnessRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_endivestep_v1_FreshnessRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_endivestep_v1_FreshnessReply_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_endivestep_v1_FreshnessReply_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_endivestep_v1_QuotaDemand_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_endivestep_v1_QuotaDemand_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_endivestep_v1_QuotaRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_endivestep_v1_QuotaRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_endivestep_v1_QuotaGrant_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_endivestep_v1_QuotaGrant_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_endivestep_v1_QuotaReply_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_endivestep_v1_QuotaReply_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_endivestep_v1_RolloutRouteEvidence_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_endivestep_v1_RolloutRouteEvidence_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_endivestep_v1_RolloutEvidence_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_endivestep_v1_RolloutEvidence_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_endivestep_v1_RolloutNotice_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_endivestep_v1_RolloutNotice_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_endivestep_v1_SignedGossip_descriptor;
   static final 
@@ -190,7 +235,7 @@
       "uestFrame\022*\n\004head\030\001 \001(\0132\032.endivestep.v1." +
       "RequestHeadH\000\022)\n\005chunk\030\002 \001(\0132\030.endiveste" +
       "p.v1.BodyChunkH\000\022%\n\003end\030\003 \001(\0132\026.endivest" +
-      "ep.v1.BodyEndH\000B\007\n\005frame\"\302\003\n\013RequestHead" +
+      "ep.v1.BodyEndH\000B\007\n\005frame\"\350\003\n\013RequestHead" +
       "\022\022\n\nrequest_id\030\001 \001(\t\022\022\n\nattempt_id\030\002 \001(\t" +
       "\022\017\n\007service\030\003 \001(\t\022\014\n\004kind\030\004 \001(\t\022\016\n\006metho" +
       "d\030\005 \001(\t\022\014\n\004path\030\006 \001(\t\022&\n\007headers\030\007 \003(\0132\025" +
@@ -201,105 +246,133 @@
       "\025configuration_version\030\016 \001(\003\022\020\n\010priority" +
       "\030\017 \001(\005\022\024\n\014objective_ms\030\020 \001(\003\022\023\n\013patience" +
       "_ms\030\021 \001(\003\022\016\n\006nested\030\022 \001(\010\022\020\n\010repeated\030\023 " +
-      "\001(\010\022\024\n\007sent_ms\030\024 \001(\003H\000\210\001\001B\n\n\010_sent_ms\")\n" +
-      "\tBodyChunk\022\r\n\005index\030\001 \001(\005\022\r\n\005bytes\030\002 \001(\014" +
-      "\";\n\007BodyEnd\022\016\n\006frames\030\001 \001(\005\022\016\n\006length\030\002 " +
-      "\001(\003\022\020\n\010checksum\030\003 \001(\r\"\225\002\n\013AnswerFrame\022+\n" +
-      "\010admitted\030\001 \001(\0132\027.endivestep.v1.Admitted" +
-      "H\000\022(\n\007not_run\030\002 \001(\0132\025.endivestep.v1.NotR" +
-      "unH\000\022)\n\007unknown\030\003 \001(\0132\026.endivestep.v1.Un" +
-      "knownH\000\022)\n\004head\030\004 \001(\0132\031.endivestep.v1.An" +
-      "swerHeadH\000\022)\n\005chunk\030\005 \001(\0132\030.endivestep.v" +
-      "1.BodyChunkH\000\022%\n\003end\030\006 \001(\0132\026.endivestep." +
-      "v1.BodyEndH\000B\007\n\005frame\"Y\n\nLoadReport\022\021\n\ti" +
-      "n_flight\030\001 \001(\005\022\r\n\005limit\030\002 \001(\005\022\017\n\007waiting" +
-      "\030\003 \001(\005\022\030\n\020slowness_percent\030\004 \001(\005\"S\n\nLoad" +
-      "Notice\022\n\n\002vm\030\001 \001(\t\022\'\n\004load\030\002 \001(\0132\031.endiv" +
-      "estep.v1.LoadReport\022\020\n\010sequence\030\003 \001(\003\"3\n" +
-      "\010Admitted\022\'\n\004load\030\001 \001(\0132\031.endivestep.v1." +
-      "LoadReport\"P\n\006NotRun\022\016\n\006reason\030\001 \001(\t\022\'\n\004" +
-      "load\030\002 \001(\0132\031.endivestep.v1.LoadReport\022\r\n" +
-      "\005final\030\003 \001(\010\"B\n\007Unknown\022\016\n\006reason\030\001 \001(\t\022" +
-      "\'\n\004load\030\002 \001(\0132\031.endivestep.v1.LoadReport" +
-      "\"\271\001\n\nAnswerHead\022\022\n\nrequest_id\030\001 \001(\t\022\022\n\na" +
-      "ttempt_id\030\002 \001(\t\022\016\n\006status\030\003 \001(\005\022&\n\007heade" +
-      "rs\030\004 \003(\0132\025.endivestep.v1.Header\022\'\n\004load\030" +
-      "\005 \001(\0132\031.endivestep.v1.LoadReport\022\r\n\005whol" +
-      "e\030\006 \001(\010\022\023\n\013inline_body\030\007 \001(\014\"N\n\014FenceReq" +
-      "uest\022\022\n\nattempt_id\030\001 \001(\t\022\032\n\022daemon_incar" +
-      "nation\030\002 \001(\t\022\016\n\006age_ms\030\003 \001(\003\"\217\001\n\013FenceAn" +
-      "swer\022/\n\005state\030\001 \001(\0162 .endivestep.v1.Fenc" +
-      "eAnswer.State\"O\n\005State\022\017\n\013UNSPECIFIED\020\000\022" +
-      "\021\n\rNEVER_STARTED\020\001\022\013\n\007STARTED\020\002\022\025\n\021OTHER" +
-      "_INCARNATION\020\003\"X\n\024ConfigurationRequest\022\025" +
-      "\n\rknown_version\030\001 \001(\003\022\021\n\tknown_era\030\002 \001(\003" +
-      "\022\026\n\016known_revision\030\003 \001(\003\"\277\001\n\023Configurati" +
-      "onRecord\022\017\n\007version\030\001 \001(\003\022\020\n\010document\030\002 " +
-      "\001(\t\022*\n\006change\030\003 \001(\0132\032.endivestep.v1.Chan" +
-      "geEntry\022.\n\rlatest_states\030\004 \003(\0132\027.endives" +
-      "tep.v1.Override\022\021\n\tstore_era\030\005 \001(\003\022\026\n\016st" +
-      "ore_revision\030\006 \001(\003\"w\n\010Override\022\023\n\013data_c" +
-      "entre\030\001 \001(\t\022\r\n\005state\030\002 \001(\t\022\021\n\tchange_id\030" +
-      "\003 \001(\t\022\020\n\010operator\030\004 \001(\t\022\017\n\007time_ms\030\005 \001(\003" +
-      "\022\021\n\tstore_era\030\006 \001(\003\"\201\001\n\013ChangeEntry\022\021\n\tc" +
-      "hange_id\030\001 \001(\t\022\020\n\010operator\030\002 \001(\t\022\017\n\007time" +
-      "_ms\030\003 \001(\003\022\024\n\014from_version\030\004 \001(\003\022\022\n\nto_ve" +
-      "rsion\030\005 \001(\003\022\022\n\ndifference\030\006 \001(\t\"\304\002\n\006Memb" +
-      "er\022\n\n\002vm\030\001 \001(\t\022\014\n\004host\030\002 \001(\t\022\022\n\ninner_po" +
-      "rt\030\003 \001(\005\022\023\n\013data_centre\030\004 \001(\t\022\032\n\022daemon_" +
-      "incarnation\030\005 \001(\t\022\020\n\010sequence\030\006 \001(\003\022*\n\005s" +
-      "tate\030\007 \001(\0162\033.endivestep.v1.Member.State\022" +
-      "\017\n\007service\030\010 \001(\t\022\032\n\022worker_incarnation\030\t" +
-      " \001(\t\022\026\n\016worker_serving\030\n \001(\010\022\022\n\nadmin_po" +
-      "rt\030\013 \001(\005\"D\n\005State\022\017\n\013UNSPECIFIED\020\000\022\t\n\005AL" +
-      "IVE\020\001\022\013\n\007SUSPECT\020\002\022\010\n\004DEAD\020\003\022\010\n\004LEFT\020\004\"T" +
-      "\n\tSuspicion\022\023\n\013fingerprint\030\001 \001(\t\022\016\n\006deat" +
-      "hs\030\002 \003(\t\022\024\n\014remaining_ms\030\003 \001(\003\022\014\n\004lone\030\004" +
-      " \001(\010\"\253\003\n\006Gossip\022(\n\004type\030\001 \001(\0162\032.endivest" +
-      "ep.v1.Gossip.Type\022\014\n\004from\030\002 \001(\t\022\020\n\010seque" +
-      "nce\030\003 \001(\003\022\016\n\006target\030\004 \001(\t\022\035\n\025configurati" +
-      "on_version\030\005 \001(\003\022&\n\007members\030\006 \003(\0132\025.endi" +
-      "vestep.v1.Member\022,\n\nsuspicions\030\007 \003(\0132\030.e" +
-      "ndivestep.v1.Suspicion\022\016\n\006digest\030\010 \001(\006\022*" +
-      "\n\toverrides\030\t \003(\0132\027.endivestep.v1.Overri" +
-      "de\022\021\n\tstore_era\030\n \001(\003\022\031\n\021configuration_e" +
-      "ra\030\013 \001(\003\022\036\n\026configuration_revision\030\014 \001(\003" +
-      "\"H\n\004Type\022\017\n\013UNSPECIFIED\020\000\022\010\n\004PING\020\001\022\007\n\003A" +
-      "CK\020\002\022\020\n\014PING_REQUEST\020\003\022\n\n\006UPDATE\020\004\"2\n\014Si" +
-      "gnedGossip\022\017\n\007payload\030\001 \001(\014\022\021\n\tsignature" +
-      "\030\002 \001(\014\"f\n\017MembershipState\022\014\n\004from\030\001 \001(\t\022" +
-      "&\n\007members\030\002 \003(\0132\025.endivestep.v1.Member\022" +
-      "\035\n\025configuration_version\030\003 \001(\003\"\021\n\017Counte" +
-      "rsRequest\"\214\001\n\010Counters\022\n\n\002vm\030\001 \001(\t\022\023\n\013da" +
-      "ta_centre\030\002 \001(\t\022\035\n\025configuration_version" +
-      "\030\003 \001(\003\022-\n\010outcomes\030\004 \003(\0132\033.endivestep.v1" +
-      ".OutcomeCount\022\021\n\toverrides\030\005 \003(\t\"M\n\014Outc" +
-      "omeCount\022\017\n\007service\030\001 \001(\t\022\014\n\004kind\030\002 \001(\t\022" +
-      "\017\n\007outcome\030\003 \001(\t\022\r\n\005count\030\004 \001(\003\"\266\002\n\013Clai" +
-      "mRecord\022/\n\005state\030\001 \001(\0162 .endivestep.v1.C" +
-      "laimRecord.State\022\022\n\nattempt_id\030\002 \001(\t\022\n\n\002" +
-      "vm\030\003 \001(\t\022\017\n\007time_ms\030\004 \001(\003\022\023\n\013fingerprint" +
-      "\030\005 \001(\t\022\016\n\006status\030\006 \001(\005\022&\n\007headers\030\007 \003(\0132" +
-      "\025.endivestep.v1.Header\022\014\n\004body\030\010 \001(\014\022\021\n\t" +
-      "body_kept\030\t \001(\010\"W\n\005State\022\017\n\013UNSPECIFIED\020" +
-      "\000\022\013\n\007CLAIMED\020\001\022\r\n\tCOMPLETED\020\002\022\014\n\010RELEASE" +
-      "D\020\003\022\023\n\017UNKNOWN_OUTCOME\020\004\"4\n\nRendezvous\022&" +
-      "\n\007members\030\001 \003(\0132\025.endivestep.v1.Member\">" +
-      "\n\rSignInRefusal\022\014\n\004name\030\001 \001(\t\022\016\n\006source\030" +
-      "\002 \001(\t\022\017\n\007time_ms\030\003 \001(\003\"C\n\021SignInRefusalL" +
-      "ist\022.\n\010refusals\030\001 \003(\0132\034.endivestep.v1.Si" +
-      "gnInRefusal2\226\001\n\tExchanges\022G\n\010Exchange\022\033." +
-      "endivestep.v1.RequestFrame\032\032.endivestep." +
-      "v1.AnswerFrame(\0010\001\022@\n\005Fence\022\033.endivestep" +
-      ".v1.FenceRequest\032\032.endivestep.v1.FenceAn" +
-      "swer2\200\002\n\007Control\022]\n\022FetchConfiguration\022#" +
-      ".endivestep.v1.ConfigurationRequest\032\".en" +
-      "divestep.v1.ConfigurationRecord\022M\n\013Synch" +
-      "ronize\022\036.endivestep.v1.MembershipState\032\036" +
-      ".endivestep.v1.MembershipState\022G\n\014ReadCo" +
-      "unters\022\036.endivestep.v1.CountersRequest\032\027" +
-      ".endivestep.v1.CountersB\036\n\032org.endiveste" +
-      "p.protocol.v1P\001b\006proto3"
+      "\001(\010\022\024\n\007sent_ms\030\024 \001(\003H\000\210\001\001\022\014\n\004team\030\025 \001(\t\022" +
+      "\026\n\016worker_version\030\026 \001(\tB\n\n\010_sent_ms\")\n\tB" +
+      "odyChunk\022\r\n\005index\030\001 \001(\005\022\r\n\005bytes\030\002 \001(\014\";" +
+      "\n\007BodyEnd\022\016\n\006frames\030\001 \001(\005\022\016\n\006length\030\002 \001(" +
+      "\003\022\020\n\010checksum\030\003 \001(\r\"\225\002\n\013AnswerFrame\022+\n\010a" +
+      "dmitted\030\001 \001(\0132\027.endivestep.v1.AdmittedH\000" +
+      "\022(\n\007not_run\030\002 \001(\0132\025.endivestep.v1.NotRun" +
+      "H\000\022)\n\007unknown\030\003 \001(\0132\026.endivestep.v1.Unkn" +
+      "ownH\000\022)\n\004head\030\004 \001(\0132\031.endivestep.v1.Answ" +
+      "erHeadH\000\022)\n\005chunk\030\005 \001(\0132\030.endivestep.v1." +
+      "BodyChunkH\000\022%\n\003end\030\006 \001(\0132\026.endivestep.v1" +
+      ".BodyEndH\000B\007\n\005frame\"Y\n\nLoadReport\022\021\n\tin_" +
+      "flight\030\001 \001(\005\022\r\n\005limit\030\002 \001(\005\022\017\n\007waiting\030\003" +
+      " \001(\005\022\030\n\020slowness_percent\030\004 \001(\005\"S\n\nLoadNo" +
+      "tice\022\n\n\002vm\030\001 \001(\t\022\'\n\004load\030\002 \001(\0132\031.endives" +
+      "tep.v1.LoadReport\022\020\n\010sequence\030\003 \001(\003\"3\n\010A" +
+      "dmitted\022\'\n\004load\030\001 \001(\0132\031.endivestep.v1.Lo" +
+      "adReport\"P\n\006NotRun\022\016\n\006reason\030\001 \001(\t\022\'\n\004lo" +
+      "ad\030\002 \001(\0132\031.endivestep.v1.LoadReport\022\r\n\005f" +
+      "inal\030\003 \001(\010\"B\n\007Unknown\022\016\n\006reason\030\001 \001(\t\022\'\n" +
+      "\004load\030\002 \001(\0132\031.endivestep.v1.LoadReport\"\271" +
+      "\001\n\nAnswerHead\022\022\n\nrequest_id\030\001 \001(\t\022\022\n\natt" +
+      "empt_id\030\002 \001(\t\022\016\n\006status\030\003 \001(\005\022&\n\007headers" +
+      "\030\004 \003(\0132\025.endivestep.v1.Header\022\'\n\004load\030\005 " +
+      "\001(\0132\031.endivestep.v1.LoadReport\022\r\n\005whole\030" +
+      "\006 \001(\010\022\023\n\013inline_body\030\007 \001(\014\"N\n\014FenceReque" +
+      "st\022\022\n\nattempt_id\030\001 \001(\t\022\032\n\022daemon_incarna" +
+      "tion\030\002 \001(\t\022\016\n\006age_ms\030\003 \001(\003\"\217\001\n\013FenceAnsw" +
+      "er\022/\n\005state\030\001 \001(\0162 .endivestep.v1.FenceA" +
+      "nswer.State\"O\n\005State\022\017\n\013UNSPECIFIED\020\000\022\021\n" +
+      "\rNEVER_STARTED\020\001\022\013\n\007STARTED\020\002\022\025\n\021OTHER_I" +
+      "NCARNATION\020\003\"X\n\024ConfigurationRequest\022\025\n\r" +
+      "known_version\030\001 \001(\003\022\021\n\tknown_era\030\002 \001(\003\022\026" +
+      "\n\016known_revision\030\003 \001(\003\"\277\001\n\023Configuration" +
+      "Record\022\017\n\007version\030\001 \001(\003\022\020\n\010document\030\002 \001(" +
+      "\t\022*\n\006change\030\003 \001(\0132\032.endivestep.v1.Change" +
+      "Entry\022.\n\rlatest_states\030\004 \003(\0132\027.endiveste" +
+      "p.v1.Override\022\021\n\tstore_era\030\005 \001(\003\022\026\n\016stor" +
+      "e_revision\030\006 \001(\003\"w\n\010Override\022\023\n\013data_cen" +
+      "tre\030\001 \001(\t\022\r\n\005state\030\002 \001(\t\022\021\n\tchange_id\030\003 " +
+      "\001(\t\022\020\n\010operator\030\004 \001(\t\022\017\n\007time_ms\030\005 \001(\003\022\021" +
+      "\n\tstore_era\030\006 \001(\003\"\201\001\n\013ChangeEntry\022\021\n\tcha" +
+      "nge_id\030\001 \001(\t\022\020\n\010operator\030\002 \001(\t\022\017\n\007time_m" +
+      "s\030\003 \001(\003\022\024\n\014from_version\030\004 \001(\003\022\022\n\nto_vers" +
+      "ion\030\005 \001(\003\022\022\n\ndifference\030\006 \001(\t\"\334\002\n\006Member" +
+      "\022\n\n\002vm\030\001 \001(\t\022\014\n\004host\030\002 \001(\t\022\022\n\ninner_port" +
+      "\030\003 \001(\005\022\023\n\013data_centre\030\004 \001(\t\022\032\n\022daemon_in" +
+      "carnation\030\005 \001(\t\022\020\n\010sequence\030\006 \001(\003\022*\n\005sta" +
+      "te\030\007 \001(\0162\033.endivestep.v1.Member.State\022\017\n" +
+      "\007service\030\010 \001(\t\022\032\n\022worker_incarnation\030\t \001" +
+      "(\t\022\026\n\016worker_serving\030\n \001(\010\022\022\n\nadmin_port" +
+      "\030\013 \001(\005\022\026\n\016worker_version\030\014 \001(\t\"D\n\005State\022" +
+      "\017\n\013UNSPECIFIED\020\000\022\t\n\005ALIVE\020\001\022\013\n\007SUSPECT\020\002" +
+      "\022\010\n\004DEAD\020\003\022\010\n\004LEFT\020\004\"T\n\tSuspicion\022\023\n\013fin" +
+      "gerprint\030\001 \001(\t\022\016\n\006deaths\030\002 \003(\t\022\024\n\014remain" +
+      "ing_ms\030\003 \001(\003\022\014\n\004lone\030\004 \001(\010\"\253\003\n\006Gossip\022(\n" +
+      "\004type\030\001 \001(\0162\032.endivestep.v1.Gossip.Type\022" +
+      "\014\n\004from\030\002 \001(\t\022\020\n\010sequence\030\003 \001(\003\022\016\n\006targe" +
+      "t\030\004 \001(\t\022\035\n\025configuration_version\030\005 \001(\003\022&" +
+      "\n\007members\030\006 \003(\0132\025.endivestep.v1.Member\022," +
+      "\n\nsuspicions\030\007 \003(\0132\030.endivestep.v1.Suspi" +
+      "cion\022\016\n\006digest\030\010 \001(\006\022*\n\toverrides\030\t \003(\0132" +
+      "\027.endivestep.v1.Override\022\021\n\tstore_era\030\n " +
+      "\001(\003\022\031\n\021configuration_era\030\013 \001(\003\022\036\n\026config" +
+      "uration_revision\030\014 \001(\003\"H\n\004Type\022\017\n\013UNSPEC" +
+      "IFIED\020\000\022\010\n\004PING\020\001\022\007\n\003ACK\020\002\022\020\n\014PING_REQUE" +
+      "ST\020\003\022\n\n\006UPDATE\020\004\"0\n\020FreshnessRequest\022\n\n\002" +
+      "vm\030\001 \001(\t\022\020\n\010sequence\030\002 \001(\003\"\214\001\n\016Freshness" +
+      "Reply\022\020\n\010sequence\030\001 \001(\003\022\016\n\006age_ms\030\002 \001(\003\022" +
+      "\035\n\025configuration_version\030\003 \001(\003\022\031\n\021config" +
+      "uration_era\030\004 \001(\003\022\036\n\026configuration_revis" +
+      "ion\030\005 \001(\003\"=\n\013QuotaDemand\022\014\n\004team\030\001 \001(\t\022\016" +
+      "\n\006wanted\030\002 \001(\005\022\020\n\010returned\030\003 \001(\005\"u\n\014Quot" +
+      "aRequest\022\n\n\002vm\030\001 \001(\t\022\032\n\022daemon_incarnati" +
+      "on\030\002 \001(\t\022\020\n\010sequence\030\003 \001(\003\022+\n\007demands\030\004 " +
+      "\003(\0132\032.endivestep.v1.QuotaDemand\"B\n\nQuota" +
+      "Grant\022\014\n\004team\030\001 \001(\t\022\017\n\007granted\030\002 \001(\005\022\025\n\r" +
+      "next_token_ms\030\003 \001(\003\"X\n\nQuotaReply\022\020\n\010seq" +
+      "uence\030\001 \001(\003\022\r\n\005owner\030\002 \001(\010\022)\n\006grants\030\003 \003" +
+      "(\0132\031.endivestep.v1.QuotaGrant\"\205\001\n\024Rollou" +
+      "tRouteEvidence\022\r\n\005route\030\001 \001(\t\022\020\n\010answere" +
+      "d\030\002 \001(\003\022\016\n\006failed\030\003 \001(\003\022\022\n\nlog_ms_sum\030\004 " +
+      "\001(\001\022\031\n\021log_ms_square_sum\030\005 \001(\001\022\r\n\005timed\030" +
+      "\006 \001(\003\"\324\001\n\017RolloutEvidence\022\n\n\002vm\030\001 \001(\t\022\032\n" +
+      "\022daemon_incarnation\030\002 \001(\t\022\020\n\010sequence\030\003 " +
+      "\001(\003\022\017\n\007service\030\004 \001(\t\022\026\n\016target_version\030\005" +
+      " \001(\t\022\026\n\016worker_version\030\006 \001(\t\022\021\n\tin_fligh" +
+      "t\030\007 \001(\005\0223\n\006routes\030\010 \003(\0132#.endivestep.v1." +
+      "RolloutRouteEvidence\"\233\001\n\rRolloutNotice\022\020" +
+      "\n\010sequence\030\001 \001(\003\022\017\n\007service\030\002 \001(\t\022\026\n\016tar" +
+      "get_version\030\003 \001(\t\022\r\n\005state\030\004 \001(\t\022\025\n\rshar" +
+      "e_percent\030\005 \001(\005\022\021\n\tstore_era\030\006 \001(\003\022\026\n\016st" +
+      "ore_revision\030\007 \001(\003\"2\n\014SignedGossip\022\017\n\007pa" +
+      "yload\030\001 \001(\014\022\021\n\tsignature\030\002 \001(\014\"f\n\017Member" +
+      "shipState\022\014\n\004from\030\001 \001(\t\022&\n\007members\030\002 \003(\013" +
+      "2\025.endivestep.v1.Member\022\035\n\025configuration" +
+      "_version\030\003 \001(\003\"\021\n\017CountersRequest\"\214\001\n\010Co" +
+      "unters\022\n\n\002vm\030\001 \001(\t\022\023\n\013data_centre\030\002 \001(\t\022" +
+      "\035\n\025configuration_version\030\003 \001(\003\022-\n\010outcom" +
+      "es\030\004 \003(\0132\033.endivestep.v1.OutcomeCount\022\021\n" +
+      "\toverrides\030\005 \003(\t\"M\n\014OutcomeCount\022\017\n\007serv" +
+      "ice\030\001 \001(\t\022\014\n\004kind\030\002 \001(\t\022\017\n\007outcome\030\003 \001(\t" +
+      "\022\r\n\005count\030\004 \001(\003\"\266\002\n\013ClaimRecord\022/\n\005state" +
+      "\030\001 \001(\0162 .endivestep.v1.ClaimRecord.State" +
+      "\022\022\n\nattempt_id\030\002 \001(\t\022\n\n\002vm\030\003 \001(\t\022\017\n\007time" +
+      "_ms\030\004 \001(\003\022\023\n\013fingerprint\030\005 \001(\t\022\016\n\006status" +
+      "\030\006 \001(\005\022&\n\007headers\030\007 \003(\0132\025.endivestep.v1." +
+      "Header\022\014\n\004body\030\010 \001(\014\022\021\n\tbody_kept\030\t \001(\010\"" +
+      "W\n\005State\022\017\n\013UNSPECIFIED\020\000\022\013\n\007CLAIMED\020\001\022\r" +
+      "\n\tCOMPLETED\020\002\022\014\n\010RELEASED\020\003\022\023\n\017UNKNOWN_O" +
+      "UTCOME\020\004\"4\n\nRendezvous\022&\n\007members\030\001 \003(\0132" +
+      "\025.endivestep.v1.Member\">\n\rSignInRefusal\022" +
+      "\014\n\004name\030\001 \001(\t\022\016\n\006source\030\002 \001(\t\022\017\n\007time_ms" +
+      "\030\003 \001(\003\"C\n\021SignInRefusalList\022.\n\010refusals\030" +
+      "\001 \003(\0132\034.endivestep.v1.SignInRefusal2\226\001\n\t" +
+      "Exchanges\022G\n\010Exchange\022\033.endivestep.v1.Re" +
+      "questFrame\032\032.endivestep.v1.AnswerFrame(\001" +
+      "0\001\022@\n\005Fence\022\033.endivestep.v1.FenceRequest" +
+      "\032\032.endivestep.v1.FenceAnswer2\200\002\n\007Control" +
+      "\022]\n\022FetchConfiguration\022#.endivestep.v1.C" +
+      "onfigurationRequest\032\".endivestep.v1.Conf" +
+      "igurationRecord\022M\n\013Synchronize\022\036.endives" +
+      "tep.v1.MembershipState\032\036.endivestep.v1.M" +
+      "embershipState\022G\n\014ReadCounters\022\036.endives" +
+      "tep.v1.CountersRequest\032\027.endivestep.v1.C" +
+      "ountersB\036\n\032org.endivestep.protocol.v1P\001b" +
+      "\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -322,7 +395,7 @@
     internal_static_endivestep_v1_RequestHead_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_RequestHead_descriptor,
-        new java.lang.String[] { "RequestId", "AttemptId", "Service", "Kind", "Method", "Path", "Headers", "RemainingMs", "DaemonIncarnation", "InlineBody", "StreamedBody", "BodyLength", "Fingerprint", "ConfigurationVersion", "Priority", "ObjectiveMs", "PatienceMs", "Nested", "Repeated", "SentMs", });
+        new java.lang.String[] { "RequestId", "AttemptId", "Service", "Kind", "Method", "Path", "Headers", "RemainingMs", "DaemonIncarnation", "InlineBody", "StreamedBody", "BodyLength", "Fingerprint", "ConfigurationVersion", "Priority", "ObjectiveMs", "PatienceMs", "Nested", "Repeated", "SentMs", "Team", "WorkerVersion", });
     internal_static_endivestep_v1_BodyChunk_descriptor =
       getDescriptor().getMessageTypes().get(3);
     internal_static_endivestep_v1_BodyChunk_fieldAccessorTable = new
@@ -418,7 +491,7 @@
     internal_static_endivestep_v1_Member_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_Member_descriptor,
-        new java.lang.String[] { "Vm", "Host", "InnerPort", "DataCentre", "DaemonIncarnation", "Sequence", "State", "Service", "WorkerIncarnation", "WorkerServing", "AdminPort", });
+        new java.lang.String[] { "Vm", "Host", "InnerPort", "DataCentre", "DaemonIncarnation", "Sequence", "State", "Service", "WorkerIncarnation", "WorkerServing", "AdminPort", "WorkerVersion", });
     internal_static_endivestep_v1_Suspicion_descriptor =
       getDescriptor().getMessageTypes().get(19);
     internal_static_endivestep_v1_Suspicion_fieldAccessorTable = new
@@ -431,56 +504,110 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_Gossip_descriptor,
         new java.lang.String[] { "Type", "From", "Sequence", "Target", "ConfigurationVersion", "Members", "Suspicions", "Digest", "Overrides", "StoreEra", "ConfigurationEra", "ConfigurationRevision", });
-    internal_static_endivestep_v1_SignedGossip_descriptor =
+    internal_static_endivestep_v1_FreshnessRequest_descriptor =
       getDescriptor().getMessageTypes().get(21);
+    internal_static_endivestep_v1_FreshnessRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_endivestep_v1_FreshnessRequest_descriptor,
+        new java.lang.String[] { "Vm", "Sequence", });
+    internal_static_endivestep_v1_FreshnessReply_descriptor =
+      getDescriptor().getMessageTypes().get(22);
+    internal_static_endivestep_v1_FreshnessReply_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_endivestep_v1_FreshnessReply_descriptor,
+        new java.lang.String[] { "Sequence", "AgeMs", "ConfigurationVersion", "ConfigurationEra", "ConfigurationRevision", });
+    internal_static_endivestep_v1_QuotaDemand_descriptor =
+      getDescriptor().getMessageTypes().get(23);
+    internal_static_endivestep_v1_QuotaDemand_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_endivestep_v1_QuotaDemand_descriptor,
+        new java.lang.String[] { "Team", "Wanted", "Returned", });
+    internal_static_endivestep_v1_QuotaRequest_descriptor =
+      getDescriptor().getMessageTypes().get(24);
+    internal_static_endivestep_v1_QuotaRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_endivestep_v1_QuotaRequest_descriptor,
+        new java.lang.String[] { "Vm", "DaemonIncarnation", "Sequence", "Demands", });
+    internal_static_endivestep_v1_QuotaGrant_descriptor =
+      getDescriptor().getMessageTypes().get(25);
+    internal_static_endivestep_v1_QuotaGrant_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_endivestep_v1_QuotaGrant_descriptor,
+        new java.lang.String[] { "Team", "Granted", "NextTokenMs", });
+    internal_static_endivestep_v1_QuotaReply_descriptor =
+      getDescriptor().getMessageTypes().get(26);
+    internal_static_endivestep_v1_QuotaReply_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_endivestep_v1_QuotaReply_descriptor,
+        new java.lang.String[] { "Sequence", "Owner", "Grants", });
+    internal_static_endivestep_v1_RolloutRouteEvidence_descriptor =
+      getDescriptor().getMessageTypes().get(27);
+    internal_static_endivestep_v1_RolloutRouteEvidence_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_endivestep_v1_RolloutRouteEvidence_descriptor,
+        new java.lang.String[] { "Route", "Answered", "Failed", "LogMsSum", "LogMsSquareSum", "Timed", });
+    internal_static_endivestep_v1_RolloutEvidence_descriptor =
+      getDescriptor().getMessageTypes().get(28);
+    internal_static_endivestep_v1_RolloutEvidence_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_endivestep_v1_RolloutEvidence_descriptor,
+        new java.lang.String[] { "Vm", "DaemonIncarnation", "Sequence", "Service", "TargetVersion", "WorkerVersion", "InFlight", "Routes", });
+    internal_static_endivestep_v1_RolloutNotice_descriptor =
+      getDescriptor().getMessageTypes().get(29);
+    internal_static_endivestep_v1_RolloutNotice_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_endivestep_v1_RolloutNotice_descriptor,
+        new java.lang.String[] { "Sequence", "Service", "TargetVersion", "State", "SharePercent", "StoreEra", "StoreRevision", });
+    internal_static_endivestep_v1_SignedGossip_descriptor =
+      getDescriptor().getMessageTypes().get(30);
     internal_static_endivestep_v1_SignedGossip_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_SignedGossip_descriptor,
         new java.lang.String[] { "Payload", "Signature", });
     internal_static_endivestep_v1_MembershipState_descriptor =
-      getDescriptor().getMessageTypes().get(22);
+      getDescriptor().getMessageTypes().get(31);
     internal_static_endivestep_v1_MembershipState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_MembershipState_descriptor,
         new java.lang.String[] { "From", "Members", "ConfigurationVersion", });
     internal_static_endivestep_v1_CountersRequest_descriptor =
-      getDescriptor().getMessageTypes().get(23);
+      getDescriptor().getMessageTypes().get(32);
     internal_static_endivestep_v1_CountersRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_CountersRequest_descriptor,
         new java.lang.String[] { });
     internal_static_endivestep_v1_Counters_descriptor =
-      getDescriptor().getMessageTypes().get(24);
+      getDescriptor().getMessageTypes().get(33);
     internal_static_endivestep_v1_Counters_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_Counters_descriptor,
         new java.lang.String[] { "Vm", "DataCentre", "ConfigurationVersion", "Outcomes", "Overrides", });
     internal_static_endivestep_v1_OutcomeCount_descriptor =
-      getDescriptor().getMessageTypes().get(25);
+      getDescriptor().getMessageTypes().get(34);
     internal_static_endivestep_v1_OutcomeCount_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_OutcomeCount_descriptor,
         new java.lang.String[] { "Service", "Kind", "Outcome", "Count", });
     internal_static_endivestep_v1_ClaimRecord_descriptor =
-      getDescriptor().getMessageTypes().get(26);
+      getDescriptor().getMessageTypes().get(35);
     internal_static_endivestep_v1_ClaimRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_ClaimRecord_descriptor,
         new java.lang.String[] { "State", "AttemptId", "Vm", "TimeMs", "Fingerprint", "Status", "Headers", "Body", "BodyKept", });
     internal_static_endivestep_v1_Rendezvous_descriptor =
-      getDescriptor().getMessageTypes().get(27);
+      getDescriptor().getMessageTypes().get(36);
     internal_static_endivestep_v1_Rendezvous_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_Rendezvous_descriptor,
         new java.lang.String[] { "Members", });
     internal_static_endivestep_v1_SignInRefusal_descriptor =
-      getDescriptor().getMessageTypes().get(28);
+      getDescriptor().getMessageTypes().get(37);
     internal_static_endivestep_v1_SignInRefusal_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_SignInRefusal_descriptor,
         new java.lang.String[] { "Name", "Source", "TimeMs", });
     internal_static_endivestep_v1_SignInRefusalList_descriptor =
-      getDescriptor().getMessageTypes().get(29);
+      getDescriptor().getMessageTypes().get(38);
     internal_static_endivestep_v1_SignInRefusalList_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_SignInRefusalList_descriptor,
--- a/protocol/src/main/java/org/endivestep/protocol/v1/Member.java
+++ b/protocol/src/main/java/org/endivestep/protocol/v1/Member.java
@@ -35,6 +35,7 @@
     state_ = 0;
     service_ = "";
     workerIncarnation_ = "";
+    workerVersion_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -494,6 +495,45 @@
     return adminPort_;
   }
 
+  public static final int WORKER_VERSION_FIELD_NUMBER = 12;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object workerVersion_ = "";
+  /**
+   * <code>string worker_version = 12;</code>
+   * @return The workerVersion.
+   */
+  @java.lang.Override
+  public java.lang.String getWorkerVersion() {
+    java.lang.Object ref = workerVersion_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      workerVersion_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string worker_version = 12;</code>
+   * @return The bytes for workerVersion.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getWorkerVersionBytes() {
+    java.lang.Object ref = workerVersion_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      workerVersion_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -541,6 +581,9 @@
     if (adminPort_ != 0) {
       output.writeInt32(11, adminPort_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workerVersion_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 12, workerVersion_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -588,6 +631,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt32Size(11, adminPort_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workerVersion_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(12, workerVersion_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -624,6 +670,8 @@
         != other.getWorkerServing()) return false;
     if (getAdminPort()
         != other.getAdminPort()) return false;
+    if (!getWorkerVersion()
+        .equals(other.getWorkerVersion())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -659,6 +707,8 @@
         getWorkerServing());
     hash = (37 * hash) + ADMIN_PORT_FIELD_NUMBER;
     hash = (53 * hash) + getAdminPort();
+    hash = (37 * hash) + WORKER_VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + getWorkerVersion().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -801,6 +851,7 @@
       workerIncarnation_ = "";
       workerServing_ = false;
       adminPort_ = 0;
+      workerVersion_ = "";
       return this;
     }
 
@@ -867,6 +918,9 @@
       if (((from_bitField0_ & 0x00000400) != 0)) {
         result.adminPort_ = adminPort_;
       }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.workerVersion_ = workerVersion_;
+      }
     }
 
     @java.lang.Override
@@ -926,6 +980,11 @@
       if (other.getAdminPort() != 0) {
         setAdminPort(other.getAdminPort());
       }
+      if (!other.getWorkerVersion().isEmpty()) {
+        workerVersion_ = other.workerVersion_;
+        bitField0_ |= 0x00000800;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1007,6 +1066,11 @@
               bitField0_ |= 0x00000400;
               break;
             } // case 88
+            case 98: {
+              workerVersion_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 98
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1647,6 +1711,78 @@
       return this;
     }
 
+    private java.lang.Object workerVersion_ = "";
+    /**
+     * <code>string worker_version = 12;</code>
+     * @return The workerVersion.
+     */
+    public java.lang.String getWorkerVersion() {
+      java.lang.Object ref = workerVersion_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        workerVersion_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string worker_version = 12;</code>
+     * @return The bytes for workerVersion.
+     */
+    public com.google.protobuf.ByteString
+        getWorkerVersionBytes() {
+      java.lang.Object ref = workerVersion_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        workerVersion_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string worker_version = 12;</code>
+     * @param value The workerVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWorkerVersion(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      workerVersion_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string worker_version = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWorkerVersion() {
+      workerVersion_ = getDefaultInstance().getWorkerVersion();
+      bitField0_ = (bitField0_ & ~0x00000800);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string worker_version = 12;</code>
+     * @param value The bytes for workerVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWorkerVersionBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      workerVersion_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:endivestep.v1.Member)
   }
 
--- a/protocol/src/main/java/org/endivestep/protocol/v1/MemberOrBuilder.java
+++ b/protocol/src/main/java/org/endivestep/protocol/v1/MemberOrBuilder.java
@@ -120,4 +120,16 @@
    * @return The adminPort.
    */
   int getAdminPort();
+
+  /**
+   * <code>string worker_version = 12;</code>
+   * @return The workerVersion.
+   */
+  java.lang.String getWorkerVersion();
+  /**
+   * <code>string worker_version = 12;</code>
+   * @return The bytes for workerVersion.
+   */
+  com.google.protobuf.ByteString
+      getWorkerVersionBytes();
 }
--- a/protocol/src/main/java/org/endivestep/protocol/v1/RequestHead.java
+++ b/protocol/src/main/java/org/endivestep/protocol/v1/RequestHead.java
@@ -38,6 +38,8 @@
     daemonIncarnation_ = "";
     inlineBody_ = com.google.protobuf.ByteString.EMPTY;
     fingerprint_ = "";
+    team_ = "";
+    workerVersion_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -568,6 +570,100 @@
     return sentMs_;
   }
 
+  public static final int TEAM_FIELD_NUMBER = 21;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object team_ = "";
+  /**
+   * <pre>
+   * Team that sent the request; empty when none is known.
+   * </pre>
+   *
+   * <code>string team = 21;</code>
+   * @return The team.
+   */
+  @java.lang.Override
+  public java.lang.String getTeam() {
+    java.lang.Object ref = team_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      team_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Team that sent the request; empty when none is known.
+   * </pre>
+   *
+   * <code>string team = 21;</code>
+   * @return The bytes for team.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getTeamBytes() {
+    java.lang.Object ref = team_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      team_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int WORKER_VERSION_FIELD_NUMBER = 22;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object workerVersion_ = "";
+  /**
+   * <pre>
+   * Expected version of the worker; empty when any version may run the request.
+   * </pre>
+   *
+   * <code>string worker_version = 22;</code>
+   * @return The workerVersion.
+   */
+  @java.lang.Override
+  public java.lang.String getWorkerVersion() {
+    java.lang.Object ref = workerVersion_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      workerVersion_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Expected version of the worker; empty when any version may run the request.
+   * </pre>
+   *
+   * <code>string worker_version = 22;</code>
+   * @return The bytes for workerVersion.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getWorkerVersionBytes() {
+    java.lang.Object ref = workerVersion_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      workerVersion_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -642,6 +738,12 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeInt64(20, sentMs_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(team_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 21, team_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workerVersion_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 22, workerVersion_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -723,6 +825,12 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(20, sentMs_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(team_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(21, team_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workerVersion_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(22, workerVersion_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -781,6 +889,10 @@
       if (getSentMs()
           != other.getSentMs()) return false;
     }
+    if (!getTeam()
+        .equals(other.getTeam())) return false;
+    if (!getWorkerVersion()
+        .equals(other.getWorkerVersion())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -845,6 +957,10 @@
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getSentMs());
     }
+    hash = (37 * hash) + TEAM_FIELD_NUMBER;
+    hash = (53 * hash) + getTeam().hashCode();
+    hash = (37 * hash) + WORKER_VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + getWorkerVersion().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1002,6 +1118,8 @@
       nested_ = false;
       repeated_ = false;
       sentMs_ = 0L;
+      team_ = "";
+      workerVersion_ = "";
       return this;
     }
 
@@ -1107,6 +1225,12 @@
         result.sentMs_ = sentMs_;
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00100000) != 0)) {
+        result.team_ = team_;
+      }
+      if (((from_bitField0_ & 0x00200000) != 0)) {
+        result.workerVersion_ = workerVersion_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -1221,6 +1345,16 @@
       if (other.hasSentMs()) {
         setSentMs(other.getSentMs());
       }
+      if (!other.getTeam().isEmpty()) {
+        team_ = other.team_;
+        bitField0_ |= 0x00100000;
+        onChanged();
+      }
+      if (!other.getWorkerVersion().isEmpty()) {
+        workerVersion_ = other.workerVersion_;
+        bitField0_ |= 0x00200000;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1355,6 +1489,16 @@
               bitField0_ |= 0x00080000;
               break;
             } // case 160
+            case 170: {
+              team_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00100000;
+              break;
+            } // case 170
+            case 178: {
+              workerVersion_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00200000;
+              break;
+            } // case 178
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2636,6 +2780,190 @@
       return this;
     }
 
+    private java.lang.Object team_ = "";
+    /**
+     * <pre>
+     * Team that sent the request; empty when none is known.
+     * </pre>
+     *
+     * <code>string team = 21;</code>
+     * @return The team.
+     */
+    public java.lang.String getTeam() {
+      java.lang.Object ref = team_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        team_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Team that sent the request; empty when none is known.
+     * </pre>
+     *
+     * <code>string team = 21;</code>
+     * @return The bytes for team.
+     */
+    public com.google.protobuf.ByteString
+        getTeamBytes() {
+      java.lang.Object ref = team_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        team_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Team that sent the request; empty when none is known.
+     * </pre>
+     *
+     * <code>string team = 21;</code>
+     * @param value The team to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTeam(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      team_ = value;
+      bitField0_ |= 0x00100000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Team that sent the request; empty when none is known.
+     * </pre>
+     *
+     * <code>string team = 21;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTeam() {
+      team_ = getDefaultInstance().getTeam();
+      bitField0_ = (bitField0_ & ~0x00100000);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Team that sent the request; empty when none is known.
+     * </pre>
+     *
+     * <code>string team = 21;</code>
+     * @param value The bytes for team to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTeamBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      team_ = value;
+      bitField0_ |= 0x00100000;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object workerVersion_ = "";
+    /**
+     * <pre>
+     * Expected version of the worker; empty when any version may run the request.
+     * </pre>
+     *
+     * <code>string worker_version = 22;</code>
+     * @return The workerVersion.
+     */
+    public java.lang.String getWorkerVersion() {
+      java.lang.Object ref = workerVersion_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        workerVersion_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Expected version of the worker; empty when any version may run the request.
+     * </pre>
+     *
+     * <code>string worker_version = 22;</code>
+     * @return The bytes for workerVersion.
+     */
+    public com.google.protobuf.ByteString
+        getWorkerVersionBytes() {
+      java.lang.Object ref = workerVersion_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        workerVersion_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Expected version of the worker; empty when any version may run the request.
+     * </pre>
+     *
+     * <code>string worker_version = 22;</code>
+     * @param value The workerVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWorkerVersion(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      workerVersion_ = value;
+      bitField0_ |= 0x00200000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Expected version of the worker; empty when any version may run the request.
+     * </pre>
+     *
+     * <code>string worker_version = 22;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWorkerVersion() {
+      workerVersion_ = getDefaultInstance().getWorkerVersion();
+      bitField0_ = (bitField0_ & ~0x00200000);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Expected version of the worker; empty when any version may run the request.
+     * </pre>
+     *
+     * <code>string worker_version = 22;</code>
+     * @param value The bytes for workerVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWorkerVersionBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      workerVersion_ = value;
+      bitField0_ |= 0x00200000;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:endivestep.v1.RequestHead)
   }
 
--- a/protocol/src/main/java/org/endivestep/protocol/v1/RequestHeadOrBuilder.java
+++ b/protocol/src/main/java/org/endivestep/protocol/v1/RequestHeadOrBuilder.java
@@ -232,4 +232,44 @@
    * @return The sentMs.
    */
   long getSentMs();
+
+  /**
+   * <pre>
+   * Team that sent the request; empty when none is known.
+   * </pre>
+   *
+   * <code>string team = 21;</code>
+   * @return The team.
+   */
+  java.lang.String getTeam();
+  /**
+   * <pre>
+   * Team that sent the request; empty when none is known.
+   * </pre>
+   *
+   * <code>string team = 21;</code>
+   * @return The bytes for team.
+   */
+  com.google.protobuf.ByteString
+      getTeamBytes();
+
+  /**
+   * <pre>
+   * Expected version of the worker; empty when any version may run the request.
+   * </pre>
+   *
+   * <code>string worker_version = 22;</code>
+   * @return The workerVersion.
+   */
+  java.lang.String getWorkerVersion();
+  /**
+   * <pre>
+   * Expected version of the worker; empty when any version may run the request.
+   * </pre>
+   *
+   * <code>string worker_version = 22;</code>
+   * @return The bytes for workerVersion.
+   */
+  com.google.protobuf.ByteString
+      getWorkerVersionBytes();
 }
