Believe a worker's health answer after a first heartbeat that waits for confirmation

Cause: a heartbeat that arrives before the first health answer waits for a confirmation. The health answer that should confirm it has no sequence, so the filter of outdated heartbeats dropped it, each time. Only the worker's next heartbeat, 1.5 s later, made the worker known.

Change: a health answer bypasses the filter while no worker is known, and completes the waiting heartbeat, which alone tells the start and version of the run. HeartbeatReceiver gets a function for its announcements, so that a test can do without gossip.

Ruled out: the health endpoint itself (it answered within 0.3 s) and the arrival of the configuration.

--- a/endivestep/src/main/kotlin/org/endivestep/daemon/HeartbeatReceiver.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/HeartbeatReceiver.kt
@@ -7,17 +7,19 @@
 import org.endivestep.egress.WorkerCapacity
 import org.endivestep.egress.WorkerHeartbeat
 import org.endivestep.egress.WorkerRegistry
+import org.endivestep.egress.isHealthAnswer
 import org.endivestep.identity.ServiceName
 import org.endivestep.settings.Address
 
 private val logger = KotlinLogging.logger {}
 
-/** Handles the heartbeats of the worker of [service] at [address]. Thread-safe. */
+/** Handles the heartbeats of the worker of [service] at [address], and [announce]s its state. Thread-safe. */
 internal class HeartbeatReceiver(
     private val service: ServiceName,
     private val address: Address,
     private val workers: WorkerRegistry,
-    private val supervisor: WorkerSupervisor,
+    /** Handles an announcement of the worker, which is cold for another `coldMs`. */
+    private val announce: (Announcement, coldMs: Long) -> Unit,
 ) {
     private val heartbeatFilter = HeartbeatFilter(System::currentTimeMillis)
     private val firstHeartbeats = FirstHeartbeats()
@@ -33,19 +35,22 @@
             logger.warn { "ignoring a heartbeat of service ${heartbeat.service.text}, expected ${service.text}" }
             return
         }
-        val isNew = heartbeatFilter.isNewer(heartbeat)
-        if (!isNew) return
-        if (workers.worker == null && !firstHeartbeats.confirms(heartbeat)) {
+        // A health answer has no sequence that could be compared with that of a heartbeat that waits for a confirmation.
+        val confirmsFirst = workers.worker == null && heartbeat.isHealthAnswer
+        if (!confirmsFirst && !heartbeatFilter.isNewer(heartbeat)) return
+        val confirmed = if (workers.worker == null) firstHeartbeats.confirm(heartbeat) else heartbeat
+        if (confirmed == null) {
             logger.info { "waiting for a confirmation of worker ${heartbeat.incarnation.text}: its first heartbeat may be late" }
             return
         }
+        announce(announcement(confirmed), confirmed.coldMs)
+    }
+
+    private fun announcement(heartbeat: WorkerHeartbeat): Announcement {
         val known = workers.worker?.announcement
         val slots = if (heartbeat.service == null) known?.capacity?.slots ?: 0 else heartbeat.slots
         val startedMs = if (heartbeat.startedMs == 0L) known?.capacity?.startedMs ?: 0 else heartbeat.startedMs
-        supervisor.markCold(service, heartbeat.coldMs)
         val version = heartbeat.version ?: known?.version?.takeIf { known.incarnation == heartbeat.incarnation }
-        supervisor.announce(
-            Announcement(service, address, heartbeat.incarnation, heartbeat.leaving, WorkerCapacity(slots, startedMs), version),
-        )
+        return Announcement(service, address, heartbeat.incarnation, heartbeat.leaving, WorkerCapacity(slots, startedMs), version)
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -134,7 +134,7 @@
         ConfigurationApplier(settings.dataCentre, overrides, quarantine, supervisor, admission, gossip)
     private val fetcher = ConfigurationFetcher(adoption, control::fetchConfiguration, adoption::offerAndLog)
     private val storeDuties: StoreDuties = StoreDuties(store, gossip, random, adoption, overrides, ::synchronizeWith)
-    private val heartbeatReceiver = HeartbeatReceiver(settings.service, settings.worker, workers, supervisor)
+    private val heartbeatReceiver = HeartbeatReceiver(settings.service, settings.worker, workers, supervisor::announce)
     private val retryDelays = RetryDelays(profiles, random)
     private val estimates = CompletionEstimates(profiles, ::monotonicMs)
     private val locality = Locality(settings.dataCentre, settings.dataCentres[settings.dataCentre].orEmpty())
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/WorkerSupervisor.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/WorkerSupervisor.kt
@@ -14,7 +14,6 @@
 import org.endivestep.egress.WorkerPhase
 import org.endivestep.egress.WorkerRegistry
 import org.endivestep.exchange.monotonicMs
-import org.endivestep.identity.ServiceName
 import org.endivestep.membership.Gossip
 import org.endivestep.membership.WorkerInfo
 import org.endivestep.quarantine.SuspicionEntry
@@ -42,9 +41,6 @@
         document.services[service]?.let { admission.configure(it.limits.within(capacity)) }
     }
 
-    /** Records that the worker of [service] is cold for another [coldMs]; to be called before the worker is announced. */
-    fun markCold(service: ServiceName, coldMs: Long) = coldPeriod.report(service, coldMs)
-
     /** Treats the worker as cold until it reports otherwise, because its data centre was out of service until now. */
     fun assumeCold() {
         val service = workers.worker?.announcement?.service ?: return
@@ -52,6 +48,13 @@
         coldPeriod.assumeCold(service)
     }
 
+    /** Handles an announcement of the worker, which is cold for another [coldMs]. */
+    fun announce(announcement: Announcement, coldMs: Long) {
+        // Known before the worker is published, so that no request meets a cold worker without its rate limit.
+        coldPeriod.report(announcement.service, coldMs)
+        announce(announcement)
+    }
+
     /** Handles an announcement of the worker; returns the number of its requests in flight. */
     fun announce(announcement: Announcement): Int {
         when (val effect = workers.announce(announcement)) {
--- a/endivestep/src/main/kotlin/org/endivestep/egress/FirstHeartbeats.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/FirstHeartbeats.kt
@@ -10,11 +10,15 @@
 internal class FirstHeartbeats {
     private var unconfirmed: WorkerHeartbeat? = null
 
-    /** Returns whether [heartbeat], with those before it, shows the state of the worker. */
-    fun confirms(heartbeat: WorkerHeartbeat): Boolean {
+    /**
+     * Returns the state of the worker that [heartbeat], with those before it, confirms; null when nothing confirms it yet. A health
+     * answer that confirms an earlier heartbeat completes it: only the heartbeat tells when the worker started, and its version.
+     */
+    fun confirm(heartbeat: WorkerHeartbeat): WorkerHeartbeat? {
         val before = unconfirmed
+        if (heartbeat.isHealthAnswer) return before?.takeIf { it.incarnation == heartbeat.incarnation }?.copy(coldMs = heartbeat.coldMs) ?: heartbeat
         unconfirmed = heartbeat
-        return heartbeat.leaving || heartbeat.sequence == HEALTH_ANSWER_SEQUENCE || before?.isOfSameRun(heartbeat) == true
+        return heartbeat.takeIf { it.leaving || before?.isOfSameRun(it) == true }
     }
 
     private fun WorkerHeartbeat.isOfSameRun(other: WorkerHeartbeat) = incarnation == other.incarnation && startedMs == other.startedMs
@@ -22,3 +26,6 @@
 
 /** Sequence of a heartbeat that was converted from an answer of the worker's health endpoint. */
 internal const val HEALTH_ANSWER_SEQUENCE = 0L
+
+/** Whether this was converted from an answer of the worker's health endpoint, which shows the worker as it is now. */
+internal val WorkerHeartbeat.isHealthAnswer: Boolean get() = sequence == HEALTH_ANSWER_SEQUENCE && !leaving
--- a/endivestep/src/test/kotlin/org/endivestep/egress/FirstHeartbeatsTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/egress/FirstHeartbeatsTest.kt
@@ -26,9 +26,20 @@
                 ),
                 Case("a health answer", listOf(heartbeat("a", 0, HEALTH_ANSWER_SEQUENCE)), listOf(true)),
                 Case("a heartbeat of a worker that leaves", listOf(heartbeat("a", 10, 7, leaving = true)), listOf(true)),
+                Case(
+                    "a heartbeat, then a health answer of the same worker",
+                    listOf(heartbeat("a", 10, 7), heartbeat("a", 0, HEALTH_ANSWER_SEQUENCE)),
+                    listOf(false, true),
+                ),
             ).forEach { case ->
                 val first = FirstHeartbeats()
-                withClue(case.name) { case.heartbeats.map(first::confirms) shouldBe case.confirmed }
+                withClue(case.name) { case.heartbeats.map { first.confirm(it) != null } shouldBe case.confirmed }
             }
         }
+
+        test("a health answer that confirms a heartbeat keeps the start of the worker's run") {
+            val first = FirstHeartbeats()
+            first.confirm(heartbeat("a", 10, 7))
+            first.confirm(heartbeat("a", 0, HEALTH_ANSWER_SEQUENCE).copy(coldMs = 900)) shouldBe heartbeat("a", 10, 7).copy(coldMs = 900)
+        }
     })
