Hold requests that arrive while a daemon starts, and start with fewer store calls

What callers saw: requests that reached a daemon in the first tenths of a second after its start were refused as no-worker, which used up the one retry of callers that all come at once after a loss of power.

The first probe of the worker follows the configuration within 25 ms instead of 200 ms. A daemon that finds its address in the store does not write it again: each restart cost two of the calls that write (create, then replace).

--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -27,6 +27,8 @@
 import org.endivestep.http.HttpConnectionPool
 import org.endivestep.identity.AttemptId
 import org.endivestep.identity.randomId
+import org.endivestep.ingress.CallerReply
+import org.endivestep.ingress.CallerRequest
 import org.endivestep.ingress.Dispatcher
 import org.endivestep.ingress.IncomingCall
 import org.endivestep.ingress.RerouteSettings
@@ -34,6 +36,7 @@
 import org.endivestep.ingress.Route
 import org.endivestep.ingress.RouteCache
 import org.endivestep.ingress.RoutedIngress
+import org.endivestep.ingress.StartupHold
 import org.endivestep.ingress.StopTime
 import org.endivestep.ingress.WeightedChoice
 import org.endivestep.membership.Gossip
@@ -139,9 +142,10 @@
     private val estimates = CompletionEstimates(profiles, ::monotonicMs)
     private val locality = Locality(settings.dataCentre, settings.dataCentres[settings.dataCentre].orEmpty())
     private val stopTime = StopTime(profiles::usualMs)
+    private val routes = RouteCache(gossip::members, ::document, settings.vm)
     private val dispatcher =
         Dispatcher(
-            RouteCache(gossip::members, ::document, settings.vm)::routes,
+            routes::routes,
             estimates,
             earliestCompletion(locality, estimates),
             RerouteSettings(MAX_REROUTES, REROUTE_MAX_QUEUE_WAIT_MS),
@@ -167,6 +171,8 @@
             retryDelays::delayMs,
             counters,
         ) { adoption.version.number }
+    private val startupHold =
+        StartupHold(platformHeaders, ::monotonicMs, { request -> ingress.canServe(request) { routes.routes(it).isNotEmpty() } })
     private val admissionNotices = AdmissionNotices(::monotonicMs)
     private val innerServer =
         innerServer(
@@ -182,7 +188,7 @@
             loops,
             pools,
             ::callerLimits,
-            PlatformHandlers(ingress::answer, ingress::mayOverlap, ::isReady, heartbeatReceiver::receive, metrics::scrape),
+            PlatformHandlers(::answer, ingress::mayOverlap, ::isReady, heartbeatReceiver::receive, metrics::scrape),
         )
     private val startProbe =
         StartupProbe(
@@ -244,6 +250,11 @@
         return result
     }
 
+    private fun answer(request: CallerRequest): CallerReply {
+        startupHold.hold(request)
+        return ingress.answer(request)
+    }
+
     private fun attempt(route: Route, request: AttemptRequest): AttemptResult =
         if (route.isLocal) egress.run(request) { } else exchanges.attempt(route.peer, request)
 
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
@@ -70,6 +70,13 @@
         }
     }
 
+    /** Whether a worker is known for one of the services to which [request] is routed; also true for what no route matches. */
+    fun canServe(request: CallerRequest, hasWorker: (ServiceName) -> Boolean): Boolean {
+        val routes = document()?.routes ?: return false
+        val rule = routes.find(host(request), request.path) ?: return true
+        return rule.destinations.any { hasWorker(it.service) }
+    }
+
     /** Whether [request] may run while other requests of its connection run: only one that may be repeated, by its route. */
     fun mayOverlap(request: CallerRequest): Boolean = document()?.routes?.find(host(request), request.path)?.semantics?.idempotent == true
 
--- a/endivestep/src/main/kotlin/org/endivestep/membership/DaemonDirectory.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/membership/DaemonDirectory.kt
@@ -10,6 +10,7 @@
 import org.endivestep.store.ListedCollection
 import org.endivestep.store.ObjectCollections
 import org.endivestep.store.WriteResult
+import org.endivestep.store.firstStoreEra
 import java.util.concurrent.Semaphore
 import java.util.random.RandomGenerator
 
@@ -30,6 +31,7 @@
     private val loops = mutableListOf<BackgroundLoop>()
     private val registrations = Semaphore(0)
     private var registered = false
+    private var recalled = false
     private var readCount = 0
 
     fun start() {
@@ -43,7 +45,7 @@
     fun registerAgain() = registrations.release()
 
     private fun register() {
-        if (registered) awaitRequest()
+        if (registered) awaitRequest() else recallRegistration()
         if (registered) return
         when (val result = store.write(collection, gossip.self.vm.text, gossip.self.inner.toString())) {
             is WriteResult.Written -> {
@@ -58,6 +60,16 @@
         }
     }
 
+    // The address of a VM stays the same over a restart of its daemon, and a list that may be old costs the store less than a write.
+    private fun recallRegistration() {
+        if (recalled) return
+        recalled = true
+        val listed = store.list(collection, allowStale = true)
+        // An old list may be from before a restore that lost the address.
+        registered = listed is ListedCollection.Items && listed.revision.era == firstStoreEra && listed.items.any(::isOwnAddress)
+        if (registered) logger.info { "the store has the address ${gossip.self.inner} of an earlier run" }
+    }
+
     // Each daemon waits for another time, so that they don't all call a store that has just returned at the same moment.
     private fun awaitRequest() {
         registrations.acquire()
--- a/endivestep/src/main/kotlin/org/endivestep/probe/StartupProbe.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/probe/StartupProbe.kt
@@ -30,13 +30,24 @@
             loop?.stop()
             return
         }
-        Thread.sleep(RETRY_DELAY_MS)
-        val answer = path()?.takeIf { !isKnown() }?.let(call) ?: return
+        val probed = path()
+        if (probed == null) {
+            Thread.sleep(CONFIGURATION_POLL_MS)
+            return
+        }
+        val answer = call(probed)
+        if (answer == null) {
+            Thread.sleep(RETRY_DELAY_MS)
+            return
+        }
         logger.info { "worker ${answer.incarnation.text} answered a probe before its first heartbeat; handling the answer as a heartbeat" }
         onAnswer(answer)
     }
 
     private companion object {
         const val RETRY_DELAY_MS = 200L
+
+        // The path comes with the configuration; callers wait for the first answer.
+        const val CONFIGURATION_POLL_MS = 25L
     }
 }
--- a/endivestep/src/test/kotlin/org/endivestep/membership/DaemonDirectoryTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/membership/DaemonDirectoryTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeGreaterThanOrEqual
 import io.kotest.matchers.shouldBe
 import org.endivestep.configuration.noPosition
 import org.endivestep.identity.DataCentreName
@@ -32,9 +33,11 @@
     val addresses = ConcurrentHashMap<String, String>()
     val writes = AtomicInteger()
     val currentLists = AtomicInteger()
+    val lists = AtomicInteger()
 
     override fun list(collection: CollectionName, allowStale: Boolean): ListedCollection {
         if (!allowStale) currentLists.incrementAndGet()
+        lists.incrementAndGet()
         return ListedCollection.Items(addresses.map { CollectionItem(it.key, StoreRevision(1), it.value) }, StoreRevision(1))
     }
 
@@ -91,6 +94,26 @@
             }
         }
 
+        // Guards against writes of every daemon at the moment when all of them restart.
+        test("a daemon writes its address only if the store does not have it") {
+            class Case(val name: String, val stored: String?, val writes: Int)
+            listOf(
+                Case("a new daemon", null, 1),
+                Case("a daemon whose VM has moved", "127.0.0.1:6000", 1),
+                Case("a daemon that starts again", "127.0.0.1:7001", 0),
+            ).forEach { case ->
+                val store = AddressStore()
+                case.stored?.let { store.addresses["vm-1"] = it }
+                val directory = DaemonDirectory(store, gossip(), SplittableRandom(1)) { }
+                directory.start()
+                // The first lists are made by the registration and by the reader.
+                eventually(5.seconds) { store.lists.get() shouldBeGreaterThanOrEqual 2 }
+                eventually(2.seconds) { withClue(case.name) { store.addresses["vm-1"] shouldBe "127.0.0.1:7001" } }
+                withClue(case.name) { store.writes.get() shouldBe case.writes }
+                directory.stop()
+            }
+        }
+
         // Guards against entries that state no usable address keeping a daemon from announcing itself to the others.
         test("an odd address of another writer does not hide the daemons beside it") {
             val odd = listOf("", "10.0.0.1:70000", "10.0.0.1:-1", "10.0.0.1:0", "10.0.0.1:99999999999", "somewhere:7001", "[".repeat(99))
