--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -22,6 +22,7 @@
 import org.endivestep.egress.WorkerRegistry
 import org.endivestep.egress.listensAt
 import org.endivestep.egress.nettyWorkerCall
+import org.endivestep.egress.noObserver
 import org.endivestep.exchange.AttemptRequest
 import org.endivestep.exchange.monotonicMs
 import org.endivestep.http.HttpConnectionPool
@@ -36,6 +37,7 @@
 import org.endivestep.ingress.RoutedIngress
 import org.endivestep.ingress.StopTime
 import org.endivestep.ingress.WeightedChoice
+import org.endivestep.ingress.everyRoute
 import org.endivestep.membership.Gossip
 import org.endivestep.membership.GossipAction
 import org.endivestep.membership.GossipProtocol
@@ -64,11 +66,13 @@
 import org.endivestep.protocol.PeerAuthentication
 import org.endivestep.protocol.PeerChannels
 import org.endivestep.protocol.RecentSenders
+import org.endivestep.protocol.RolloutDatagrams
 import org.endivestep.protocol.callExecutorSupplier
 import org.endivestep.protocol.senderInterceptor
 import org.endivestep.protocol.toInfo
 import org.endivestep.quarantine.Quarantine
 import org.endivestep.quarantine.suspicionLog
+import org.endivestep.rollout.everyVersionPermitted
 import org.endivestep.settings.Address
 import org.endivestep.store.CurrentStoreEra
 import org.endivestep.store.StoreEra
@@ -109,6 +113,7 @@
     private val inFlight = InFlightRequests(LOST_REQUEST_RETENTION_MS, ::monotonicMs)
     private val crashes = CrashDetector(quarantine, inFlight, workers, ::listensAt) { supervisor.workerDied(it) }
     private val attempts = AttemptRegistry({ FENCE_RETENTION_MS }, ::monotonicMs)
+    private val versions = settings.bounds.rollOut?.let { VersionControl(metrics, workers) }
     private val egress =
         Egress(
             settings.dataCentre,
@@ -118,6 +123,8 @@
             attempts,
             crashes,
             platformAnswerInterpreter,
+            permitsVersion = versions?.let { it::permits } ?: everyVersionPermitted,
+            observer = versions ?: noObserver,
             call = nettyWorkerCall(connections, platformHeaders),
         )
     private val channels = PeerChannels(security, loops)
@@ -133,7 +140,7 @@
     private val applier: ConfigurationApplier =
         ConfigurationApplier(settings.dataCentre, overrides, quarantine, supervisor, admission, gossip)
     private val fetcher = ConfigurationFetcher(adoption, control::fetchConfiguration, adoption::offerAndLog)
-    private val storeDuties: StoreDuties = StoreDuties(store, gossip, random, adoption, overrides, ::synchronizeWith)
+    private val storeDuties: StoreDuties = StoreDuties(store, gossip, random, adoption, overrides, ::synchronizeWith) { rollouts?.refresh() }
     private val heartbeatReceiver = HeartbeatReceiver(settings.service, settings.worker, workers, supervisor)
     private val retryDelays = RetryDelays(profiles, random)
     private val estimates = CompletionEstimates(profiles, ::monotonicMs)
@@ -146,6 +153,7 @@
             earliestCompletion(locality, estimates),
             RerouteSettings(MAX_REROUTES, REROUTE_MAX_QUEUE_WAIT_MS),
             { stopTime.sendWindowMs(it, monotonicMs()) },
+            versions?.let { it::select } ?: everyRoute,
             ::attempt,
         )
     private val senders = RecentSenders(::monotonicMs)
@@ -157,6 +165,7 @@
             { admission.load },
             { vm, load -> synchronized(estimates) { estimates.report(vm, load) } },
         )
+    private val rollouts: RolloutDuties? = versions?.let(::rolloutDuties)
     private val ingress =
         RoutedIngress(
             settings.service,
@@ -210,6 +219,8 @@
         fetcher.start()
         admission.onLoad = notices::onLoadChanged
         notices.start()
+        rollouts?.start()
+        rollouts?.registerGauges(metrics)
         startProbe.start()
         servers.callers.start()
         logger.info { "daemon ${settings.vm.text} serves callers at ${settings.callers}" }
@@ -271,6 +282,18 @@
             ControlServer(gossip, adoption, counters, overrides::entries),
         )
 
+    private fun rolloutDuties(control: VersionControl) =
+        RolloutDuties(
+            checkNotNull(settings.bounds.rollOut),
+            LocalService(settings.service, workers),
+            control,
+            gossip,
+            store,
+            random,
+            DatagramSocket(inner.port + RolloutDatagrams.PORT_OFFSET, InetAddress.getByName(inner.host)),
+            security,
+        )
+
     private fun udpSocket() = DatagramSocket(inner.port, InetAddress.getByName(inner.host))
 
     private fun initialMemberInfo() =
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/StoreDuties.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/StoreDuties.kt
@@ -22,11 +22,13 @@
     adoption: ConfigurationAdoption,
     overrides: Overrides,
     synchronize: (Address) -> Unit,
+    /** Reads again what else is followed in the store. */
+    private val refreshOthers: () -> Unit = {},
 ) {
     private val directory = DaemonDirectory(store, gossip, random, synchronize)
     private val operator = OperatorObjectsFollower(store, random, adoption, overrides)
     private val storeReturn =
-        StoreReturnDetector(store, CollectionName(OperatorObjects.DATA_CENTRES_OUT), ::checksStore, operator::refresh)
+        StoreReturnDetector(store, CollectionName(OperatorObjects.DATA_CENTRES_OUT), ::checksStore, ::refresh)
 
     /** Whether the store answered the last call for the configuration. */
     val isConnected: Boolean get() = operator.isConnected
@@ -39,11 +41,16 @@
 
     /** Reads and writes again what a restore of the store may have changed, and tells other daemons. */
     fun restored() {
-        operator.refresh()
+        refresh()
         directory.registerAgain()
         gossip.pushUpdate()
     }
 
+    private fun refresh() {
+        operator.refresh()
+        refreshOthers()
+    }
+
     private fun checksStore(): Boolean {
         val self = gossip.self
         val alive = gossip.members.filter { it.state == MemberState.ALIVE && it.dataCentre == self.dataCentre }
--- a/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
@@ -20,6 +20,8 @@
 import org.endivestep.outcome.NotRunReason
 import org.endivestep.outcome.UnknownReason
 import org.endivestep.quarantine.SuspicionLevel
+import org.endivestep.rollout.VersionPermission
+import org.endivestep.rollout.everyVersionPermitted
 import java.util.concurrent.TimeUnit
 
 private val logger = KotlinLogging.logger {}
@@ -44,6 +46,8 @@
     /** Processing times of the worker by kind, measured here: other daemons send kinds that this daemon never sends itself. */
     private val processingTimes: KindProfiles = KindProfiles(),
     private val clockNanos: () -> Long = System::nanoTime,
+    private val permitsVersion: VersionPermission = everyVersionPermitted,
+    private val observer: RunObserver = noObserver,
     private val call: WorkerCall,
 ) {
     private val log = RateLimitedLog(logger, LOG_LINES_PER_SECOND, ::nowMs)
@@ -91,6 +95,7 @@
             worker == null || worker.announcement.service != request.service -> NotRunReason.NO_WORKER
             worker.phase == WorkerPhase.LEAVING -> NotRunReason.LEAVING
             worker.phase == WorkerPhase.DIED -> NotRunReason.WORKER_UNREACHABLE
+            !permitsVersion(request.service, worker.announcement.statedVersion) -> NotRunReason.VERSION_NOT_PERMITTED
             crashes.suspicionLevel(request.fingerprint) == SuspicionLevel.QUARANTINED -> NotRunReason.QUARANTINED
             else -> null
         }
@@ -125,8 +130,13 @@
             return AttemptResult.Unknown(UnknownReason.EARLIER_ATTEMPT, admission.load)
         }
         lastTrafficMs = nowMs()
-        val run = EgressRun(request, worker, permit, admission, crashes, clockNanos)
+        val run = EgressRun(request, worker, permit, admission, crashes, clockNanos, observer)
         run.begin()
+        // Checked again now that the request counts as in flight: a roll-out is completed when no old worker has one.
+        if (!permitsVersion(request.service, worker.announcement.statedVersion)) {
+            run.end(Completion.Cancelled, RequestEnd.NOT_SENT)
+            return refuse(NotRunReason.VERSION_NOT_PERMITTED)
+        }
         return when (val result = callWorker(run, worker)) {
             is WorkerResult.Answered -> answered(run, service, result)
             is WorkerResult.NotSent -> {
--- a/endivestep/src/main/kotlin/org/endivestep/egress/WorkerRegistry.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/WorkerRegistry.kt
@@ -5,6 +5,7 @@
 import org.endivestep.identity.WorkerRunId
 import org.endivestep.identity.WorkerVersion
 import org.endivestep.identity.workerRunId
+import org.endivestep.rollout.unstatedVersion
 import org.endivestep.settings.Address
 
 /** Data that a worker sends to register with its daemon. */
@@ -18,6 +19,9 @@
 ) {
     val run: WorkerRunId get() = workerRunId(incarnation, startedMs)
 
+    /** [version], or [unstatedVersion] when the worker's heartbeats state none; null before its first heartbeat. */
+    val statedVersion: WorkerVersion? get() = version ?: unstatedVersion.takeIf { startedMs != UNKNOWN_START_MS }
+
     /** Start of the worker in ms by its clock, [UNKNOWN_START_MS] if it has not reported one. */
     val startedMs: Long get() = capacity?.startedMs ?: UNKNOWN_START_MS
 
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/AttemptHistory.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/AttemptHistory.kt
@@ -1,6 +1,7 @@
 package org.endivestep.ingress
 
 import org.endivestep.identity.VmName
+import org.endivestep.identity.WorkerVersion
 import org.endivestep.outcome.AttemptResult
 import org.endivestep.outcome.Load
 import org.endivestep.outcome.NotRunReason
@@ -11,6 +12,10 @@
     private var last: AttemptResult? = null
     private var unknown: AttemptResult.Unknown? = null
 
+    /** Versions of workers that daemons refused to use for this request, because of a roll-out. */
+    var refusedVersions: Set<WorkerVersion?> = emptySet()
+        private set
+
     /** Number of attempts that were refused before they reached a worker and were rerouted to another daemon. */
     var reroutes = 0
 
@@ -33,6 +38,11 @@
         if (result is AttemptResult.Unknown) unknown = result
     }
 
+    /** Records that a daemon refused to use [version], its worker's. */
+    fun noteRefusedVersion(version: WorkerVersion?) {
+        refusedVersions = refusedVersions + version
+    }
+
     /** Records that another attempt was possible, but the retry budget did not allow it. */
     fun noteBudgetExhausted() {
         trace += "retry-budget-exhausted"
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
@@ -9,6 +9,7 @@
 import org.endivestep.exchange.monotonicMs
 import org.endivestep.identity.AttemptId
 import org.endivestep.identity.ServiceName
+import org.endivestep.identity.WorkerVersion
 import org.endivestep.identity.randomId
 import org.endivestep.outcome.AttemptResult
 import org.endivestep.outcome.NotRunReason
@@ -23,6 +24,12 @@
 /** Returns the current routes of a service. */
 internal typealias RouteLookup = (ServiceName) -> List<Route>
 
+/** Returns those of the routes that the next attempt may use, by version of the workers; the last argument are refused versions. */
+internal typealias VersionSelection = (ServiceName, List<Route>, Set<WorkerVersion?>) -> List<Route>
+
+/** Lets each attempt use every route. */
+internal val everyRoute: VersionSelection = { _, routes, _ -> routes }
+
 /**
  * Limits on rerouting: a request that a daemon refused before it reached a worker is sent to another daemon
  * at most [maxReroutes] times, in addition to its retries. While other workers are left, the request waits
@@ -38,6 +45,7 @@
         NotRunReason.LEAVING,
         NotRunReason.NO_WORKER,
         NotRunReason.DATA_CENTRE_OUT,
+        NotRunReason.VERSION_NOT_PERMITTED,
     )
 
 /** Chooses workers for a request and retries it within the retry budget of its service. Thread-safe. */
@@ -48,6 +56,7 @@
     private val rerouting: RerouteSettings = noRerouting,
     /** Returns the time in ms during which a request may still be sent to a worker, see [StopTime]. */
     private val sendWindowMs: (IncomingCall) -> Long = { Long.MAX_VALUE },
+    private val selectVersion: VersionSelection = everyRoute,
     private val attempt: AttemptCall,
 ) {
     private val budgets = HashMap<ServiceName, RetryBudget>()
@@ -67,6 +76,7 @@
             val result = tryOnce(route, call, attemptId, minOf(maxWaitMs(call, history), windowMs))
             val repliedBefore = history.workerReplied
             history.add(route.candidate.vm, result, monotonicMs() - startMs)
+            if (result.isRefusedVersion()) history.noteRefusedVersion(route.version)
             call.trace = history.trace
             if (call.replayable && shouldReroute(result, history)) {
                 history.reroutes++
@@ -94,7 +104,8 @@
 
     private fun chooseRoute(call: IncomingCall, history: AttemptHistory): Route? {
         if (call.cancellation.isCancelled) throw InterruptedException("the caller has left")
-        val routes = lookup(call.service.name).filterNot { history.wasTried(it.candidate.vm) }
+        val untried = lookup(call.service.name).filterNot { history.wasTried(it.candidate.vm) }
+        val routes = selectVersion(call.service.name, untried, history.refusedVersions)
         if (routes.isEmpty()) return null
         val chosen: Candidate =
             synchronized(loads) {
@@ -108,6 +119,8 @@
         return routes.first { it.candidate == chosen }
     }
 
+    private fun AttemptResult.isRefusedVersion() = this is AttemptResult.NotRun && reason == NotRunReason.VERSION_NOT_PERMITTED
+
     private fun tryOnce(route: Route, call: IncomingCall, attemptId: AttemptId, maxWaitMs: Long): AttemptResult {
         val vm = route.candidate.vm
         val startMs = monotonicMs()
@@ -131,7 +144,7 @@
         when (result) {
             is AttemptResult.Answered -> false
             is AttemptResult.Unknown -> true
-            is AttemptResult.NotRun -> result.reason in unreachableReasons
+            is AttemptResult.NotRun -> result.reason in unreachableReasons && !result.isRefusedVersion()
         }
 
     // A request that was refused before it reached a worker cost only the round trip, so it may be sent to another daemon.
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/Route.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/Route.kt
@@ -4,12 +4,13 @@
 import org.endivestep.document.Document
 import org.endivestep.identity.ServiceName
 import org.endivestep.identity.VmName
+import org.endivestep.identity.WorkerVersion
 import org.endivestep.membership.MemberInfo
 import org.endivestep.membership.MemberState
 import org.endivestep.protocol.Peer
 
-/** A worker that requests can be sent to, and the daemon that admits them. */
-internal data class Route(val candidate: Candidate, val peer: Peer, val isLocal: Boolean)
+/** A worker that requests can be sent to, and the daemon that admits them. [version] is null while it is not known. */
+internal data class Route(val candidate: Candidate, val peer: Peer, val isLocal: Boolean, val version: WorkerVersion? = null)
 
 /**
  * Returns the workers of [service] that may receive new requests, according to this daemon's membership view.
@@ -25,5 +26,5 @@
 
 private fun MemberInfo.toRoute(document: Document, self: VmName): Route {
     val region = document.dataCentres[dataCentre]?.region.orEmpty()
-    return Route(Candidate(vm, dataCentre, region), Peer(inner, incarnation), vm == self)
+    return Route(Candidate(vm, dataCentre, region), Peer(inner, incarnation), vm == self, worker?.version)
 }
--- a/endivestep/src/main/kotlin/org/endivestep/membership/SharedTask.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/membership/SharedTask.kt
@@ -1,6 +1,7 @@
 package org.endivestep.membership
 
 import com.google.common.hash.Hashing
+import org.endivestep.identity.ServiceName
 import org.endivestep.identity.VmName
 
 /** Task that a few members of a data centre perform for the whole data centre. */
@@ -13,5 +14,11 @@
 internal fun assignedMembers(vms: Collection<VmName>, task: SharedTask, count: Int): List<VmName> =
     vms.sortedByDescending { score(it, task) }.take(count)
 
-private fun score(vm: VmName, task: SharedTask): Long =
-    Hashing.murmur3_128().hashString("${task.name}/${vm.text}", Charsets.UTF_8).asLong()
+/** Returns the [count] members of [vms] that are assigned the roll-outs of [service] by rendezvous hashing, in order of rank. */
+internal fun rolloutDeciders(vms: Collection<VmName>, service: ServiceName, count: Int): List<VmName> =
+    vms.sortedByDescending { score(it, "roll-out/${service.text}") }.take(count)
+
+private fun score(vm: VmName, task: SharedTask): Long = score(vm, task.name)
+
+private fun score(vm: VmName, task: String): Long =
+    Hashing.murmur3_128().hashString("$task/${vm.text}", Charsets.UTF_8).asLong()
--- a/endivestep/src/main/kotlin/org/endivestep/outcome/Outcome.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/outcome/Outcome.kt
@@ -24,6 +24,9 @@
     UNKNOWN_KIND("unknown-kind"),
     NO_ROUTE("no-route"),
     COLD("cold"),
+
+    /** The roll-out of the service does not permit the version of the worker now. */
+    VERSION_NOT_PERMITTED("version-not-permitted"),
     ;
 
     companion object {
--- a/endivestep/src/main/kotlin/org/endivestep/store/ObjectCollections.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/store/ObjectCollections.kt
@@ -11,8 +11,11 @@
     override fun toString(): String = "$number of era ${era.number}"
 }
 
-/** An object of a collection: [text] is its content, [revision] that of its last change. */
-internal class CollectionItem(val name: String, val revision: StoreRevision, val text: String)
+/**
+ * An object of a collection: [text] is its content, [revision] that of its last change, and [status] what was recorded about it,
+ * null when there is none.
+ */
+internal class CollectionItem(val name: String, val revision: StoreRevision, val text: String, val status: String? = null)
 
 /** A change of a collection; [item] is the object after the change, or its last state if it was [deleted]. */
 internal class CollectionEvent(val item: CollectionItem, val deleted: Boolean)
@@ -46,4 +49,8 @@
 
     /** Creates or unconditionally replaces the object with that name. */
     fun write(collection: CollectionName, name: String, text: String): WriteResult
+
+    /** Replaces the status of the object with that name if [revision] is still that of its last change. */
+    fun writeStatus(collection: CollectionName, name: String, status: String, revision: StoreRevision): WriteResult =
+        WriteResult.Unknown("this store keeps no status")
 }
--- /dev/null
+++ b/endivestep/src/test/kotlin/org/endivestep/rollout/RolloutSimulationTest.kt
@@ -0,0 +1,82 @@
+package org.endivestep.rollout
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+
+private const val SEEDS = 3
+private const val REACTION_MS = 5_000L
+private const val EXPOSURE = 0.1
+private const val SLACK = 50
+
+private fun cases(daemons: Int, workers: Int, rate: Int, seeds: Int): List<SimulationCase> =
+    Behaviour.entries.flatMap { behaviour ->
+        Fault.entries.flatMap { fault -> (1..seeds).map { SimulationCase(behaviour, fault, daemons, workers, rate, it.toLong()) } }
+    }
+
+private fun faultsOf(case: SimulationCase, result: SimulationResult): List<String> =
+    buildList {
+        val final = result.final(newVersion)
+        val deadline = ORDER_AT_MS + ORDER_MS
+        if (result.ranWithoutPermission > 0) add("${result.ranWithoutPermission} requests ran before a share was written")
+        if (case.behaviour.isBad) {
+            if (final?.second?.state == RolloutState.COMPLETE) add("a bad version is complete at ${final.first}")
+            val isEnded = case.fault in setOf(Fault.REPLACED, Fault.REMOVED)
+            if (final == null && !isEnded) add("a bad version is not reverted")
+            val bound = EXPOSURE * result.requests + SLACK
+            if (result.exposed > bound) add("exposed ${result.exposed}, allowed $bound")
+            if ((result.reactionMs ?: 0) > REACTION_MS && case.fault != Fault.REMOVED) add("reaction ${result.reactionMs} ms")
+        } else {
+            if (final?.second?.state == RolloutState.REVERTED) add("a good version is reverted")
+            val completes = case.fault != Fault.REPLACED && case.fault != Fault.REMOVED
+            if (completes && (final == null || final.first > deadline)) add("a good version is not complete by the deadline: $final")
+            if (final != null && result.triedBeforeComplete < MIN_TRIED) add("complete after ${result.triedBeforeComplete} responses")
+            if (result.oldInFlightAtComplete > 0) add("${result.oldInFlightAtComplete} requests at old workers at the end")
+            if (result.refused > result.requests / MAX_REFUSED_SHARE) add("${result.refused} of ${result.requests} refused")
+        }
+    }.map { "$case: $it; ${result.states.map { s -> "${s.first}:${s.second.state}/${s.second.sharePercent}" }}" }
+
+private const val MIN_TRIED = 20
+private const val MAX_REFUSED_SHARE = 50
+
+private fun report(name: String, cases: List<SimulationCase>): List<String> {
+    val results = cases.map { it to RolloutSimulation(it).run() }
+    val bad = results.filter { it.first.behaviour.isBad }
+    val exposure = bad.maxOf { it.second.exposed / (EXPOSURE * it.second.requests + SLACK) }
+    val reactions = bad.mapNotNull { it.second.reactionMs }
+    println("$name: ${cases.size} runs, greatest exposure %.2f of the bound, greatest reaction ${reactions.maxOrNull()} ms".format(exposure))
+    return results.flatMap { faultsOf(it.first, it.second) }
+}
+
+class RolloutSimulationTest :
+    FunSpec({
+        // Guards against bad versions that reach too many callers or stay, and against good ones that are not taken into use in time.
+        test("every behaviour of the new version beside every fault, at several sizes") {
+            val findings =
+                report("12 daemons, 40 requests a second", cases(daemons = 12, workers = 4, rate = 40, seeds = SEEDS)) +
+                    report("70 daemons, 150 requests a second", cases(daemons = 70, workers = 12, rate = 150, seeds = SEEDS)) +
+                    report("1,000 daemons, 300 requests a second", cases(daemons = 1_000, workers = 20, rate = 300, seeds = 1))
+            findings.forEach(::println)
+            findings.shouldBeEmpty()
+        }
+
+        test("few requests, and one daemon") {
+            val findings =
+                report("8 daemons, 15 requests a second", cases(daemons = 8, workers = 3, rate = 15, seeds = SEEDS).filter { isVisible(it) }) +
+                    report("2 daemons", cases(daemons = 2, workers = 1, rate = 20, seeds = SEEDS).filter { it.fault == Fault.NONE && isVisible(it) })
+            findings.forEach(::println)
+            findings.shouldBeEmpty()
+        }
+
+        test("no good version is reverted over many seeds") {
+            val cases = (1L..FALSE_VERDICT_SEEDS).map { SimulationCase(Behaviour.GOOD, Fault.NONE, 24, 8, 100, it) }
+            val reverted = cases.count { RolloutSimulation(it).run().final(newVersion)?.second?.state == RolloutState.REVERTED }
+            println("false verdicts: $reverted of $FALSE_VERDICT_SEEDS good versions")
+            reverted shouldBeLessThanOrEqual 0
+        }
+    })
+
+private const val FALSE_VERDICT_SEEDS = 300L
+
+// With few requests, load does not occur, and a rare failure may not be seen before the deadline.
+private fun isVisible(case: SimulationCase) = case.behaviour !in setOf(Behaviour.SLOW_UNDER_LOAD, Behaviour.FAILING_RARELY)
