Accept the keys of teams, and confirm that the configuration is the latest

Where the configuration has teams, a request on a route that isn't public carries exactly one key. The daemon looks up its digest, so that neither the time of a comparison nor a text reveals a key, and tells the worker the team.

Where the platform states a time within which a key must be revoked, a daemon accepts keys only while its proof that it holds the latest configuration is recent enough. Two daemons of each data centre ask the store, the others ask these by datagram.

--- a/endivestep/src/main/kotlin/org/endivestep/configuration/ConfigurationAdoption.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/configuration/ConfigurationAdoption.kt
@@ -47,6 +47,10 @@
 
     val position: ConfigurationPosition get() = active?.record?.position ?: noPosition
 
+    /** Returns the position of the configuration by which requests are served; waits for an adoption that is in progress. */
+    @Synchronized
+    fun settledPosition(): ConfigurationPosition = position
+
     @Synchronized
     fun offer(record: ConfigurationRecord): Adoption {
         val current = active
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/OperatorObjectsFollower.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/OperatorObjectsFollower.kt
@@ -2,6 +2,7 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.endivestep.configuration.ConfigurationAdoption
+import org.endivestep.configuration.ConfigurationPosition
 import org.endivestep.configuration.Overrides
 import org.endivestep.configuration.offerAndLog
 import org.endivestep.exchange.monotonicMs
@@ -14,23 +15,26 @@
 import org.endivestep.store.CollectionListener
 import org.endivestep.store.CollectionName
 import org.endivestep.store.ObjectCollections
+import org.endivestep.store.StoreRevision
+import org.endivestep.store.WatchedCollection
 import java.util.random.RandomGenerator
 
 private val logger = KotlinLogging.logger {}
 
 /** Follows the objects that the operator writes to the platform's store: the configuration and the data centres that are out of service. */
 internal class OperatorObjectsFollower(
-    store: ObjectCollections,
+    private val store: ObjectCollections,
     random: RandomGenerator,
     private val adoption: ConfigurationAdoption,
     overrides: Overrides,
     clockMs: () -> Long = ::monotonicMs,
 ) {
+    private val collection = CollectionName(OperatorObjects.CONFIGURATION)
     private val states = DataCentreStates(overrides, clockMs)
     private val configurations =
         CollectionFollower(
             store,
-            CollectionName(OperatorObjects.CONFIGURATION),
+            collection,
             random,
             CollectionListener({ listed -> listed.items.forEach(::offer) }, { if (!it.deleted) offer(it.item) }),
         )
@@ -42,6 +46,10 @@
             CollectionListener(states::listed, states::changed, states::upToDate, states::msUntilSettled),
         )
 
+    // Revision of the last answer to [confirmedPosition]; all changes up to it have been offered.
+    @Volatile
+    private var confirmed: StoreRevision? = null
+
     /** Whether the store answered the last call of the configuration follower. */
     val isConnected: Boolean get() = configurations.isConnected
 
@@ -61,6 +69,28 @@
         dataCentreStates.refresh()
     }
 
+    /**
+     * Asks the store for changes of the configuration that have not been reported yet, and offers them for adoption. Returns the
+     * position of the configuration that is then in force here, which was the latest in the store after the call began; null when
+     * the store gave no usable answer. Blocks.
+     */
+    fun confirmedPosition(): ConfigurationPosition? {
+        val reported = configurations.known ?: return null
+        val since = confirmed?.let { maxOf(it, reported) } ?: reported
+        return when (val watched = store.watch(collection, since, timeoutMs = 0)) {
+            is WatchedCollection.Events -> if (watched.revision.era == since.era) confirmedBy(watched) else null
+            // The follower may not notice this for as long as its watch waits.
+            WatchedCollection.HistoryGone -> null.also { configurations.refresh() }
+            is WatchedCollection.Unavailable -> null
+        }
+    }
+
+    private fun confirmedBy(watched: WatchedCollection.Events): ConfigurationPosition {
+        watched.events.filterNot { it.deleted }.forEach { offer(it.item) }
+        confirmed = watched.revision
+        return adoption.settledPosition()
+    }
+
     private fun offer(item: CollectionItem) {
         if (item.name != OperatorObjects.CONFIGURATION_NAME) return
         val record = operatorRecord(item)
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -46,6 +46,7 @@
 import org.endivestep.metrics.DaemonMetrics
 import org.endivestep.metrics.OutcomeCounters
 import org.endivestep.outcome.AttemptResult
+import org.endivestep.outcome.NotRunReason
 import org.endivestep.platform.PlatformSettings
 import org.endivestep.platform.healthCall
 import org.endivestep.platform.platformAnswerInterpreter
@@ -58,6 +59,7 @@
 import org.endivestep.protocol.ControlServer
 import org.endivestep.protocol.ExchangeClient
 import org.endivestep.protocol.ExchangeServer
+import org.endivestep.protocol.FreshnessDatagrams
 import org.endivestep.protocol.GossipCodec
 import org.endivestep.protocol.LoadNoticeRecipients
 import org.endivestep.protocol.LoadNotices
@@ -146,6 +148,7 @@
             earliestCompletion(locality, estimates),
             RerouteSettings(MAX_REROUTES, REROUTE_MAX_QUEUE_WAIT_MS),
             { stopTime.sendWindowMs(it, monotonicMs()) },
+            ::sendRefusal,
             ::attempt,
         )
     private val senders = RecentSenders(::monotonicMs)
@@ -157,6 +160,11 @@
             { admission.load },
             { vm, load -> synchronized(estimates) { estimates.report(vm, load) } },
         )
+    private val freshness =
+        settings.bounds.keyRevocationMs?.let {
+            val socket = udpSocket(FreshnessDatagrams.PORT_OFFSET)
+            FreshnessDuties(it, gossip, adoption, fetcher, ::document, storeDuties::confirmedPosition, socket, random)
+        }
     private val ingress =
         RoutedIngress(
             settings.service,
@@ -166,6 +174,7 @@
             ::dispatch,
             retryDelays::delayMs,
             counters,
+            ::keysAreCurrent,
         ) { adoption.version.number }
     private val admissionNotices = AdmissionNotices(::monotonicMs)
     private val innerServer =
@@ -210,6 +219,8 @@
         fetcher.start()
         admission.onLoad = notices::onLoadChanged
         notices.start()
+        freshness?.registerGauges(metrics)
+        freshness?.start()
         startProbe.start()
         servers.callers.start()
         logger.info { "daemon ${settings.vm.text} serves callers at ${settings.callers}" }
@@ -236,6 +247,11 @@
 
     private fun document(): Document? = overrides.document
 
+    private fun keysAreCurrent(): Boolean = freshness?.isFresh() ?: true
+
+    private fun sendRefusal(call: IncomingCall): NotRunReason? =
+        if (call.rank.team != null && !keysAreCurrent()) NotRunReason.CONFIGURATION_STALE else null
+
     private fun callerLimits() = document()?.callers ?: defaultCallerLimits
 
     private fun dispatch(call: IncomingCall, attempt: AttemptId): AttemptResult {
@@ -271,7 +287,7 @@
             ControlServer(gossip, adoption, counters, overrides::entries),
         )
 
-    private fun udpSocket() = DatagramSocket(inner.port, InetAddress.getByName(inner.host))
+    private fun udpSocket(portOffset: Int = 0) = DatagramSocket(inner.port + portOffset, InetAddress.getByName(inner.host))
 
     private fun initialMemberInfo() =
         MemberInfo(
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/StoreDuties.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/StoreDuties.kt
@@ -1,6 +1,7 @@
 package org.endivestep.daemon
 
 import org.endivestep.configuration.ConfigurationAdoption
+import org.endivestep.configuration.ConfigurationPosition
 import org.endivestep.configuration.Overrides
 import org.endivestep.membership.DaemonDirectory
 import org.endivestep.membership.Gossip
@@ -31,6 +32,9 @@
     /** Whether the store answered the last call for the configuration. */
     val isConnected: Boolean get() = operator.isConnected
 
+    /** See [OperatorObjectsFollower.confirmedPosition]. */
+    fun confirmedPosition(): ConfigurationPosition? = operator.confirmedPosition()
+
     fun start() {
         operator.start()
         storeReturn.start()
--- a/endivestep/src/main/kotlin/org/endivestep/document/Team.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/document/Team.kt
@@ -17,8 +17,12 @@
 /** The teams of a configuration. Without teams, callers need no key. */
 internal class TeamTable(val teams: List<Team>) {
     private val byName = teams.associateBy { it.name }
+    private val byKey: Map<KeyDigest, Team> = teams.flatMap { team -> team.keys.map { KeyDigest.of(it) to team } }.toMap()
 
     val isEmpty: Boolean get() = teams.isEmpty()
 
     fun find(name: TeamName): Team? = byName[name]
+
+    /** Returns the team that has the key with this digest, or null. */
+    fun find(key: KeyDigest): Team? = byKey[key]
 }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
@@ -48,6 +48,8 @@
     private val rerouting: RerouteSettings = noRerouting,
     /** Returns the time in ms during which a request may still be sent to a worker, see [StopTime]. */
     private val sendWindowMs: (IncomingCall) -> Long = { Long.MAX_VALUE },
+    /** Returns the reason why a request may no longer be sent to any worker, null when it may. */
+    private val sendRefusal: (IncomingCall) -> NotRunReason? = { null },
     private val attempt: AttemptCall,
 ) {
     private val budgets = HashMap<ServiceName, RetryBudget>()
@@ -60,6 +62,7 @@
         val history = AttemptHistory()
         var attemptId = firstAttempt
         while (true) {
+            sendRefusal(call)?.let { return history.outcome() ?: AttemptResult.NotRun(it) }
             val windowMs = sendWindowMs(call)
             if (windowMs <= 0) return history.outcome() ?: AttemptResult.NotRun(NotRunReason.LEAVING)
             val route = chooseRoute(call, history) ?: return history.outcome() ?: AttemptResult.NotRun(NotRunReason.NO_WORKER)
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/RequestFingerprint.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/RequestFingerprint.kt
@@ -7,8 +7,14 @@
 
 private const val ORIGIN_BYTES = 8
 
-/** What tells a request apart from others with the same method, path and body. */
-internal data class RequestOrigin(val service: String, val host: String, val callerService: String, val idempotencyKey: String)
+/** What tells a request apart from others with the same method, path and body. [team] is empty for a request without a team. */
+internal data class RequestOrigin(
+    val service: String,
+    val host: String,
+    val callerService: String,
+    val idempotencyKey: String,
+    val team: String = "",
+)
 
 /** Returns the fingerprint of a request. A streamed body contributes only its length, so that it need not be read. */
 internal fun requestFingerprint(method: String, path: String, body: RequestBody, origin: RequestOrigin): Fingerprint {
@@ -20,6 +26,7 @@
     }
     val signature = digest.digest()
     digest.update("${origin.service}\n${origin.host}\n${origin.callerService}\n${origin.idempotencyKey}".toByteArray())
+    if (origin.team.isNotEmpty()) digest.update("\n${origin.team}".toByteArray())
     val originDigest = digest.digest().copyOf(ORIGIN_BYTES)
     return Fingerprint("${signature.toHexadecimal()}.${originDigest.toHexadecimal()}")
 }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/RequestLog.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/RequestLog.kt
@@ -58,7 +58,8 @@
             put("deadlineMs", request.header(headers.deadlineMs).orEmpty())
             result.rule?.let { put("objectiveMs", it.objectiveMs) }
             result.rule?.let { put("timeoutMs", it.timeoutMs) }
-            result.rule?.let { put("priority", it.priority) }
+            result.rule?.let { put("priority", result.call?.rank?.priority ?: it.priority) }
+            result.call?.rank?.team?.let { put("team", it.text) }
             result.retryDelayMs?.let { put("returnMs", it) }
             put("configuration", configurationVersion())
             result.call?.let { put("attempts", it.trace) }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
@@ -13,6 +13,7 @@
 import org.endivestep.identity.Fingerprint
 import org.endivestep.identity.RequestId
 import org.endivestep.identity.ServiceName
+import org.endivestep.identity.TeamName
 import org.endivestep.identity.randomId
 import org.endivestep.metrics.FinalOutcome
 import org.endivestep.metrics.OutcomeCounters
@@ -40,11 +41,15 @@
     private val dispatch: (IncomingCall, AttemptId) -> AttemptResult,
     private val retryDelay: RetryDelay,
     private val counters: OutcomeCounters,
+    /** Whether the configuration in force here is known to be recent enough for its keys to be accepted. */
+    private val keysAreCurrent: () -> Boolean = { true },
     configurationVersion: () -> Long,
 ) {
     private val log = RequestLog(headers, configurationVersion)
     private val active = AtomicInteger()
     private val recentRefusals = RecentRefusals()
+    private val replacedNames = setOf(headers.callerService, headers.deadlineMs, headers.expectedWorker).map { it.lowercase() }.toSet()
+    private val identityNames = setOfNotNull(headers.credentials, headers.team).map { it.lowercase() }.toSet()
 
     @Volatile
     private var endMs = Long.MAX_VALUE
@@ -75,10 +80,14 @@
 
     private fun route(request: CallerRequest): CallerReply {
         val requestId = request.header(headers.requestId).orEmpty()
+        // Asked before the configuration is read: a later answer could be about a later configuration than the one that is read.
+        val isCurrent = keysAreCurrent()
         val current = document() ?: return refusal(request, null, NotRunReason.NO_CONFIGURATION)
         val rule =
             current.routes.find(host(request), request.path)
                 ?: return refusal(request, null, NotRunReason.NO_ROUTE)
+        val identity = callerIdentity(current.teams, rule, request, headers.credentials)
+        keyRefusal(identity, isCurrent)?.let { return refusal(request, rule, it) }
         val service =
             current.services[weights.choose(rule)]
                 ?: return refusal(request, rule, NotRunReason.UNKNOWN_SERVICE)
@@ -87,12 +96,21 @@
         val deadline = Deadline(sentMs(request, rule) + minOf(deadlineMs(request, rule), rule.timeoutMs))
         if (deadline.remainingMs(monotonicMs()) <= 0) return refusal(request, rule, NotRunReason.DEADLINE_PASSED)
         if (deadline.atMs > endMs) return refusal(request, rule, NotRunReason.LEAVING)
-        val call = call(request, rule, service, requestId, deadline)
+        val call = call(request, rule, service, requestId, deadline, identity)
         val result = dispatch(call, AttemptId(randomId()))
         if (result is AttemptResult.NotRun) synchronized(recentRefusals) { recentRefusals.record(call.fingerprint, request.arrivedMs) }
         return reply(request, rule, call, result)
     }
 
+    // Without a recent proof, a key that is not known may be new, so it is not refused for good.
+    private fun keyRefusal(identity: CallerIdentity, isCurrent: Boolean): NotRunReason? =
+        when (identity) {
+            CallerIdentity.NotConfigured, CallerIdentity.Anonymous -> null
+            is CallerIdentity.Member -> NotRunReason.CONFIGURATION_STALE.takeUnless { isCurrent }
+            is CallerIdentity.Refused ->
+                if (identity.bearsKey && !isCurrent) NotRunReason.CONFIGURATION_STALE else NotRunReason.UNAUTHORIZED
+        }
+
     private fun deadlineMs(request: CallerRequest, rule: RouteRule): Long =
         request.header(headers.deadlineMs)?.toLongOrNull() ?: rule.timeoutMs
 
@@ -100,8 +118,16 @@
 
     private fun host(request: CallerRequest): String = request.header("Host").orEmpty().substringBefore(':').lowercase()
 
-    private fun call(request: CallerRequest, rule: RouteRule, service: Service, requestId: String, deadline: Deadline): IncomingCall {
-        val fingerprint = fingerprint(request, service)
+    private fun call(
+        request: CallerRequest,
+        rule: RouteRule,
+        service: Service,
+        requestId: String,
+        deadline: Deadline,
+        identity: CallerIdentity,
+    ): IncomingCall {
+        val team = (identity as? CallerIdentity.Member)?.team
+        val fingerprint = fingerprint(request, service, team?.name)
         val firstMs = synchronized(recentRefusals) { recentRefusals.firstArrivalMs(fingerprint, request.arrivedMs) }
         return IncomingCall(
             id = RequestId(requestId),
@@ -109,22 +135,33 @@
             kind = Kind(rule.name, setOf(request.method), rule.pathPrefix, rule.semantics, rule.objectiveMs, rule.timeoutMs, weight = 1),
             method = request.method,
             path = request.target,
-            headers = forwardedHeaders(request),
+            headers = forwardedHeaders(request, identity),
             body = request.body,
             startMs = request.arrivedMs,
             deadline = deadline,
             idempotencyKey = null,
             fingerprint = fingerprint,
             maxAttempts = rule.maxAttempts,
-            rank = RequestRank(rule.priority, (firstMs ?: sentMs(request, rule)) + rule.objectiveMs, repeated = firstMs != null),
+            rank =
+                RequestRank(
+                    team?.priority ?: rule.priority,
+                    (firstMs ?: sentMs(request, rule)) + rule.objectiveMs,
+                    repeated = firstMs != null,
+                    team = team?.name,
+                ),
             cancellation = request.cancellation,
         )
     }
 
-    private fun forwardedHeaders(request: CallerRequest): List<HeaderField> {
-        val replacedNames = setOf(headers.callerService.lowercase(), headers.deadlineMs.lowercase(), headers.expectedWorker.lowercase())
-        val kept = request.headers.forwarded().filterNot { it.name.lowercase() in replacedNames }
-        return kept + HeaderField(headers.callerService, callerService.text)
+    private fun forwardedHeaders(request: CallerRequest, identity: CallerIdentity): List<HeaderField> {
+        val replaced = if (identity == CallerIdentity.NotConfigured) replacedNames else replacedNames + identityNames
+        val kept = request.headers.forwarded().filterNot { it.name.lowercase() in replaced }
+        return kept + listOfNotNull(HeaderField(headers.callerService, callerService.text), teamField(identity))
+    }
+
+    private fun teamField(identity: CallerIdentity): HeaderField? {
+        val team = (identity as? CallerIdentity.Member)?.team ?: return null
+        return headers.team?.let { HeaderField(it, team.name.text) }
     }
 
     private fun reply(request: CallerRequest, rule: RouteRule, call: IncomingCall, result: AttemptResult): CallerReply =
@@ -164,13 +201,13 @@
         listOfNotNull(request.header(headers.requestId)?.let { HeaderField(headers.requestId, it) })
 
     // A repeated request has another id; everything else that the worker sees is the same.
-    private fun fingerprint(request: CallerRequest, service: Service): Fingerprint {
-        val origin = RequestOrigin(service.name.text, host(request), callerService.text, idempotencyKey = "")
+    private fun fingerprint(request: CallerRequest, service: Service, team: TeamName?): Fingerprint {
+        val origin = RequestOrigin(service.name.text, host(request), callerService.text, idempotencyKey = "", team?.text.orEmpty())
         return requestFingerprint(request.method, request.target, request.body, origin)
     }
 
     private companion object {
-        val callerErrors = setOf(NotRunReason.NO_ROUTE, NotRunReason.BAD_REQUEST)
+        val callerErrors = setOf(NotRunReason.NO_ROUTE, NotRunReason.BAD_REQUEST, NotRunReason.UNAUTHORIZED)
         const val NOT_RUN_STATUS = 503
         const val FAILURE_STATUS = 502
         const val TIMEOUT_STATUS = 504
--- a/endivestep/src/main/kotlin/org/endivestep/membership/SharedTask.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/membership/SharedTask.kt
@@ -4,7 +4,7 @@
 import org.endivestep.identity.VmName
 
 /** Task that a few members of a data centre perform for the whole data centre. */
-internal enum class SharedTask { CONFIGURATION_WATCH, RENDEZVOUS, STORE_CHECK }
+internal enum class SharedTask { CONFIGURATION_WATCH, RENDEZVOUS, STORE_CHECK, FRESHNESS }
 
 /**
  * Returns the [count] members of [vms] that are assigned [task] by rendezvous hashing: all daemons with the same
--- a/endivestep/src/main/kotlin/org/endivestep/outcome/Outcome.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/outcome/Outcome.kt
@@ -24,6 +24,12 @@
     UNKNOWN_KIND("unknown-kind"),
     NO_ROUTE("no-route"),
     COLD("cold"),
+
+    /** The request bears no key of a team, on a route that needs one. */
+    UNAUTHORIZED("unauthorized"),
+
+    /** This daemon has not confirmed recently enough that it holds the latest configuration, so a key may have been revoked. */
+    CONFIGURATION_STALE("configuration-stale"),
     ;
 
     companion object {
--- a/endivestep/src/main/kotlin/org/endivestep/outcome/OutcomeHeaders.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/outcome/OutcomeHeaders.kt
@@ -34,6 +34,7 @@
 internal fun NotRunReason.status(): Int =
     when (this) {
         NotRunReason.BAD_REQUEST -> 400
+        NotRunReason.UNAUTHORIZED -> 401
         NotRunReason.UNKNOWN_SERVICE, NotRunReason.UNKNOWN_KIND, NotRunReason.NO_ROUTE -> 404
         NotRunReason.KEY_REUSED -> 422
         else -> 503
--- a/endivestep/src/main/kotlin/org/endivestep/retry/RetryDecision.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/retry/RetryDecision.kt
@@ -47,6 +47,8 @@
         NotRunReason.UNKNOWN_SERVICE,
         NotRunReason.UNKNOWN_KIND,
         NotRunReason.NO_ROUTE,
+        NotRunReason.UNAUTHORIZED,
+        NotRunReason.CONFIGURATION_STALE,
         -> false
         else -> true
     }
--- a/endivestep/src/main/kotlin/org/endivestep/store/CollectionFollower.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/store/CollectionFollower.kt
@@ -34,10 +34,14 @@
 ) {
     private val backoff = ExponentialBackoff(FIRST_PAUSE_MS, MAX_PAUSE_MS, random)
     private val refresh = RefreshSignal { loop?.interrupt() }
-    private var known: StoreRevision? = null
     private var mustBeCurrent = false
     private var loop: BackgroundLoop? = null
 
+    /** Revision up to which all changes were reported; null before the first list and while the collection must be listed again. */
+    @Volatile
+    var known: StoreRevision? = null
+        private set
+
     /** Whether the last call to the store was answered. */
     @Volatile
     var isConnected = false
