--- a/emulator/src/main/kotlin/org/endivestep/emulator/PlatformWorkerServer.kt
+++ b/emulator/src/main/kotlin/org/endivestep/emulator/PlatformWorkerServer.kt
@@ -60,7 +60,9 @@
 
     private fun run(request: Request, id: String): Response {
         if (crashesOn(request)) Runtime.getRuntime().halt(CRASH_EXIT_CODE)
-        runs += "$id ${request.method} ${request.uri} caller=${request.header("X-Caller")} body=${request.body.stream.readBytes().size}"
+        val length = request.body.stream.readBytes().size
+        val sender = "caller=${request.header("X-Caller")} team=${request.header("X-Tenant")} key=${request.header("Authorization")}"
+        runs += "$id ${request.method} ${request.uri} $sender body=$length"
         Thread.sleep(behaviour.workMs)
         return Response(Status.OK)
             .header("X-Server-Stamp", "stamp.$id")
--- a/emulator/src/test/kotlin/org/endivestep/emulator/PlatformFleet.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/PlatformFleet.kt
@@ -123,8 +123,18 @@
         call("POST", "http://127.0.0.1:${node.workerPort}/emulator/behaviour?$query", "")
     }
 
-    /** Sends a request as a caller on the VM [through]; [host] is the Host header, by which a listener is selected. */
-    fun send(through: PlatformNode, host: String, path: String, method: String = "GET", body: String = "") =
+    /**
+     * Sends a request with the further [headers] as a caller on the VM [through]; [host] is the Host header, by which a listener is
+     * selected.
+     */
+    fun send(
+        through: PlatformNode,
+        host: String,
+        path: String,
+        method: String = "GET",
+        body: String = "",
+        headers: Map<String, String> = emptyMap(),
+    ): HttpResponse<String> =
         client.send(
             HttpRequest
                 .newBuilder(URI("http://127.0.0.1:${through.callerPort}$path"))
@@ -133,6 +143,7 @@
                 .header("X-Request-Id", UUID.randomUUID().toString())
                 .header("X-Deadline-Ms", "5000")
                 .method(method, HttpRequest.BodyPublishers.ofString(body))
+                .apply { headers.forEach { header(it.key, it.value) } }
                 .build(),
             HttpResponse.BodyHandlers.ofString(),
         )
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/CallerIdentity.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/CallerIdentity.kt
@@ -6,7 +6,8 @@
 import org.endivestep.document.Team
 import org.endivestep.document.TeamTable
 
-private const val SCHEME = "Bearer"
+/** Scheme of the credentials by which a caller states a key. */
+internal const val CREDENTIALS_SCHEME = "Bearer"
 
 /** What the credentials of a request say about its caller. */
 internal sealed interface CallerIdentity {
@@ -36,6 +37,6 @@
 // RFC 9110, section 11.4: the scheme in any case, at least one space, and the key. An empty key identifies nobody.
 private fun bearerKey(credentials: String): ApiKey? {
     val text = credentials.trim(' ', '\t')
-    if (!text.startsWith("$SCHEME ", ignoreCase = true)) return null
-    return text.substring(SCHEME.length).trim(' ').takeIf { it.isNotEmpty() }?.let(::ApiKey)
+    if (!text.startsWith("$CREDENTIALS_SCHEME ", ignoreCase = true)) return null
+    return text.substring(CREDENTIALS_SCHEME.length).trim(' ').takeIf { it.isNotEmpty() }?.let(::ApiKey)
 }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
@@ -182,9 +182,13 @@
         val retryDelayMs = retryDelay(rule, reason, remainingMs)
         record(request, RequestOutcome(FinalOutcome.NOT_RUN, status, reason.text, rule, call, retryDelayMs))
         val seconds = BigDecimal.valueOf(retryDelayMs, DIGITS_OF_MS).toPlainString()
-        return emptyReply(status, echoedHeaders(request) + HeaderField(headers.retryAfter, seconds))
+        return emptyReply(status, echoedHeaders(request) + challenge(reason) + HeaderField(headers.retryAfter, seconds))
     }
 
+    // RFC 9110, section 15.5.2: a response with status 401 must name the scheme.
+    private fun challenge(reason: NotRunReason): List<HeaderField> =
+        if (reason == NotRunReason.UNAUTHORIZED) listOf(HeaderField("WWW-Authenticate", CREDENTIALS_SCHEME)) else emptyList()
+
     private fun failure(request: CallerRequest, call: IncomingCall, rule: RouteRule, reason: UnknownReason): CallerReply {
         val status = if (reason == UnknownReason.TIMEOUT) TIMEOUT_STATUS else FAILURE_STATUS
         record(request, RequestOutcome(FinalOutcome.UNKNOWN, status, reason.text, rule, call))
