--- a/endivestep/src/main/kotlin/org/endivestep/document/Team.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/document/Team.kt
@@ -2,7 +2,10 @@
 
 import org.endivestep.identity.TeamName
 
-/** A team whose callers identify themselves by one of [keys]. [priority] has precedence over that of a route; null leaves it to the route. */
+/**
+ * A team whose callers identify themselves by one of [keys]. [priority] has precedence over that of a route; null leaves it to the
+ * route.
+ */
 internal class Team(val name: TeamName, val keys: Set<ApiKey>, val priority: Int?, val quota: TeamQuota?)
 
 /** Rate limit of one team over all daemons: [ratePerSecond] requests per second and [burst] requests beyond that. */
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
@@ -62,9 +62,8 @@
         val history = AttemptHistory()
         var attemptId = firstAttempt
         while (true) {
-            sendRefusal(call)?.let { return history.outcome() ?: AttemptResult.NotRun(it) }
             val windowMs = sendWindowMs(call)
-            if (windowMs <= 0) return history.outcome() ?: AttemptResult.NotRun(NotRunReason.LEAVING)
+            refusal(call, windowMs)?.let { return history.outcome() ?: AttemptResult.NotRun(it) }
             val route = chooseRoute(call, history) ?: return history.outcome() ?: AttemptResult.NotRun(NotRunReason.NO_WORKER)
             val startMs = monotonicMs()
             val result = tryOnce(route, call, attemptId, minOf(maxWaitMs(call, history), windowMs))
@@ -86,6 +85,9 @@
         }
     }
 
+    private fun refusal(call: IncomingCall, windowMs: Long): NotRunReason? =
+        if (windowMs <= 0) NotRunReason.LEAVING else sendRefusal(call)
+
     private fun facts(call: IncomingCall, history: AttemptHistory) =
         RetryFacts(
             idempotent = call.kind.idempotent,
