--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -51,6 +51,7 @@
 import org.endivestep.metrics.DaemonMetrics
 import org.endivestep.metrics.OutcomeCounters
 import org.endivestep.outcome.AttemptResult
+import org.endivestep.outcome.NotRunReason
 import org.endivestep.platform.PlatformSettings
 import org.endivestep.platform.healthCall
 import org.endivestep.platform.platformAnswerInterpreter
@@ -63,6 +64,7 @@
 import org.endivestep.protocol.ControlServer
 import org.endivestep.protocol.ExchangeClient
 import org.endivestep.protocol.ExchangeServer
+import org.endivestep.protocol.FreshnessDatagrams
 import org.endivestep.protocol.GossipCodec
 import org.endivestep.protocol.LoadNoticeRecipients
 import org.endivestep.protocol.LoadNotices
@@ -158,6 +160,7 @@
             RerouteSettings(MAX_REROUTES, REROUTE_MAX_QUEUE_WAIT_MS),
             { stopTime.sendWindowMs(it, monotonicMs()) },
             versions?.let { it::select } ?: everyRoute,
+            ::sendRefusal,
             ::attempt,
         )
     private val senders = RecentSenders(::monotonicMs)
@@ -170,6 +173,11 @@
             { vm, load -> synchronized(estimates) { estimates.report(vm, load) } },
         )
     private val rollouts: RolloutDuties? = versions?.let(::rolloutDuties)
+    private val freshness =
+        settings.bounds.keyRevocationMs?.let {
+            val socket = udpSocket(FreshnessDatagrams.PORT_OFFSET)
+            FreshnessDuties(it, gossip, adoption, fetcher, ::document, storeDuties::confirmedPosition, socket, random)
+        }
     private val ingress =
         RoutedIngress(
             settings.service,
@@ -179,6 +187,7 @@
             ::dispatch,
             retryDelays::delayMs,
             counters,
+            ::keysAreCurrent,
         ) { adoption.version.number }
     private val startupHold =
         StartupHold(platformHeaders, ::monotonicMs, { request -> ingress.canServe(request) { routes.routes(it).isNotEmpty() } })
@@ -227,6 +236,8 @@
         notices.start()
         rollouts?.start()
         rollouts?.registerGauges(metrics)
+        freshness?.registerGauges(metrics)
+        freshness?.start()
         startProbe.start()
         servers.callers.start()
         logger.info { "daemon ${settings.vm.text} serves callers at ${settings.callers}" }
@@ -253,6 +264,11 @@
 
     private fun document(): Document? = overrides.document
 
+    private fun keysAreCurrent(): Boolean = freshness?.isFresh() ?: true
+
+    private fun sendRefusal(call: IncomingCall): NotRunReason? =
+        if (call.rank.team != null && !keysAreCurrent()) NotRunReason.CONFIGURATION_STALE else null
+
     private fun callerLimits() = document()?.callers ?: defaultCallerLimits
 
     private fun dispatch(call: IncomingCall, attempt: AttemptId): AttemptResult {
@@ -301,11 +317,11 @@
             gossip,
             store,
             random,
-            DatagramSocket(inner.port + RolloutDatagrams.PORT_OFFSET, InetAddress.getByName(inner.host)),
+            udpSocket(RolloutDatagrams.PORT_OFFSET),
             security,
         )
 
-    private fun udpSocket() = DatagramSocket(inner.port, InetAddress.getByName(inner.host))
+    private fun udpSocket(portOffset: Int = 0) = DatagramSocket(inner.port + portOffset, InetAddress.getByName(inner.host))
 
     private fun initialMemberInfo() =
         MemberInfo(
--- a/endivestep/src/main/kotlin/org/endivestep/document/Team.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/document/Team.kt
@@ -2,7 +2,10 @@
 
 import org.endivestep.identity.TeamName
 
-/** A team whose callers identify themselves by one of [keys]. [priority] has precedence over that of a route; null leaves it to the route. */
+/**
+ * A team whose callers identify themselves by one of [keys]. [priority] has precedence over that of a route; null leaves it to the
+ * route.
+ */
 internal class Team(val name: TeamName, val keys: Set<ApiKey>, val priority: Int?, val quota: TeamQuota?)
 
 /** Rate limit of one team over all daemons: [ratePerSecond] requests per second and [burst] requests beyond that. */
@@ -17,8 +20,12 @@
 /** The teams of a configuration. Without teams, callers need no key. */
 internal class TeamTable(val teams: List<Team>) {
     private val byName = teams.associateBy { it.name }
+    private val byKey: Map<KeyDigest, Team> = teams.flatMap { team -> team.keys.map { KeyDigest.of(it) to team } }.toMap()
 
     val isEmpty: Boolean get() = teams.isEmpty()
 
     fun find(name: TeamName): Team? = byName[name]
+
+    /** Returns the team that has the key with this digest, or null. */
+    fun find(key: KeyDigest): Team? = byKey[key]
 }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
@@ -57,6 +57,8 @@
     /** Returns the time in ms during which a request may still be sent to a worker, see [StopTime]. */
     private val sendWindowMs: (IncomingCall) -> Long = { Long.MAX_VALUE },
     private val selectVersion: VersionSelection = everyRoute,
+    /** Returns the reason why a request may no longer be sent to any worker, null when it may. */
+    private val sendRefusal: (IncomingCall) -> NotRunReason? = { null },
     private val attempt: AttemptCall,
 ) {
     private val budgets = HashMap<ServiceName, RetryBudget>()
@@ -70,7 +72,7 @@
         var attemptId = firstAttempt
         while (true) {
             val windowMs = sendWindowMs(call)
-            if (windowMs <= 0) return history.outcome() ?: AttemptResult.NotRun(NotRunReason.LEAVING)
+            refusal(call, windowMs)?.let { return history.outcome() ?: AttemptResult.NotRun(it) }
             val route = chooseRoute(call, history) ?: return history.outcome() ?: AttemptResult.NotRun(NotRunReason.NO_WORKER)
             val startMs = monotonicMs()
             val result = tryOnce(route, call, attemptId, minOf(maxWaitMs(call, history), windowMs))
@@ -93,6 +95,9 @@
         }
     }
 
+    private fun refusal(call: IncomingCall, windowMs: Long): NotRunReason? =
+        if (windowMs <= 0) NotRunReason.LEAVING else sendRefusal(call)
+
     private fun facts(call: IncomingCall, history: AttemptHistory) =
         RetryFacts(
             idempotent = call.kind.idempotent,
--- a/endivestep/src/main/kotlin/org/endivestep/outcome/Outcome.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/outcome/Outcome.kt
@@ -27,6 +27,11 @@
 
     /** The roll-out of the service does not permit the version of the worker now. */
     VERSION_NOT_PERMITTED("version-not-permitted"),
+    /** The request bears no key of a team, on a route that needs one. */
+    UNAUTHORIZED("unauthorized"),
+
+    /** This daemon has not confirmed recently enough that it holds the latest configuration, so a key may have been revoked. */
+    CONFIGURATION_STALE("configuration-stale"),
     ;
 
     companion object {
