--- a/endivestep/src/main/kotlin/org/endivestep/daemon/DaemonGauges.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/DaemonGauges.kt
@@ -7,6 +7,7 @@
 import org.endivestep.membership.Gossip
 import org.endivestep.membership.MemberState
 import org.endivestep.metrics.DaemonMetrics
+import org.endivestep.quota.QuotaService
 
 /** Registers the gauges of a daemon. */
 internal fun registerGauges(
@@ -48,3 +49,12 @@
     metrics.gauge("endivestep.quarantined", "Requests in quarantine") { crashes.quarantinedCount }
     metrics.gauge("endivestep.store.connected", "1 while the store answers") { if (store.isConnected) 1 else 0 }
 }
+
+/** Registers the gauges of the quotas of teams. */
+internal fun registerQuotaGauges(metrics: DaemonMetrics, quotas: QuotaService) {
+    metrics.gauge("endivestep.quota.owned", "Teams whose tokens this daemon grants at present") { quotas.ownedCount }
+    metrics.gauge("endivestep.quota.heard", "Daemons heard from within 3 s") { quotas.heardCount }
+    metrics.gauge("endivestep.quota.fallbacks", "Teams whose requests use the fallback allowance") { quotas.fallbackCount }
+    metrics.gauge("endivestep.quota.expired", "Tokens that expired unused") { quotas.expiredTokens }
+    metrics.gauge("endivestep.quota.dropped", "Quota datagrams refused or not sent") { quotas.dropped.get() }
+}
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -63,12 +63,16 @@
 import org.endivestep.protocol.LoadNotices
 import org.endivestep.protocol.PeerAuthentication
 import org.endivestep.protocol.PeerChannels
+import org.endivestep.protocol.QuotaCodec
 import org.endivestep.protocol.RecentSenders
 import org.endivestep.protocol.callExecutorSupplier
 import org.endivestep.protocol.senderInterceptor
 import org.endivestep.protocol.toInfo
 import org.endivestep.quarantine.Quarantine
 import org.endivestep.quarantine.suspicionLog
+import org.endivestep.quota.QuotaMetrics
+import org.endivestep.quota.QuotaService
+import org.endivestep.quota.QuotaTolerance
 import org.endivestep.settings.Address
 import org.endivestep.store.CurrentStoreEra
 import org.endivestep.store.StoreEra
@@ -101,7 +105,10 @@
     private val store = platformStore(settings.store, connections, STORE_TIMEOUT_MS, storeEra)
     private val overrides: Overrides = Overrides(System::currentTimeMillis) { applier.overridden() }
     private val adoption: ConfigurationAdoption =
-        ConfigurationAdoption({ name, text -> readOperatorDocument(name, text, documentDefaults(settings)) }) { applier.adopted(it) }
+        ConfigurationAdoption({ name, text -> readOperatorDocument(name, text, documentDefaults(settings)) }) {
+            applier.adopted(it)
+            quotas.startIfNeeded()
+        }
     private val profiles = KindProfiles()
     private val workers = WorkerRegistry()
     private val admission = AdmissionQueue(limitsBeforeHeartbeat, ::monotonicMs)
@@ -157,6 +164,16 @@
             { admission.load },
             { vm, load -> synchronized(estimates) { estimates.report(vm, load) } },
         )
+    private val quotas: QuotaService =
+        QuotaService(
+            inner,
+            QuotaCodec(security),
+            { gossip.self },
+            { gossip.members },
+            ::document,
+            settings.bounds.quota?.let { QuotaTolerance(it.windowMs, it.overshoot, it.slack) } ?: QuotaTolerance(),
+            QuotaMetrics(metrics.registry),
+        )
     private val ingress =
         RoutedIngress(
             settings.service,
@@ -166,6 +183,7 @@
             ::dispatch,
             retryDelays::delayMs,
             counters,
+            quotas::admit,
         ) { adoption.version.number }
     private val admissionNotices = AdmissionNotices(::monotonicMs)
     private val innerServer =
@@ -210,6 +228,8 @@
         fetcher.start()
         admission.onLoad = notices::onLoadChanged
         notices.start()
+        quotas.startIfNeeded(always = settings.bounds.quota != null)
+        registerQuotaGauges(metrics, quotas)
         startProbe.start()
         servers.callers.start()
         logger.info { "daemon ${settings.vm.text} serves callers at ${settings.callers}" }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
@@ -22,6 +22,9 @@
 import org.endivestep.outcome.NotRunReason
 import org.endivestep.outcome.UnknownReason
 import org.endivestep.outcome.status
+import org.endivestep.quota.QuotaAdmission
+import org.endivestep.quota.QuotaGate
+import org.endivestep.quota.noQuota
 import java.math.BigDecimal
 import java.util.concurrent.atomic.AtomicInteger
 
@@ -40,6 +43,7 @@
     private val dispatch: (IncomingCall, AttemptId) -> AttemptResult,
     private val retryDelay: RetryDelay,
     private val counters: OutcomeCounters,
+    private val admitByQuota: QuotaGate = noQuota,
     configurationVersion: () -> Long,
 ) {
     private val log = RequestLog(headers, configurationVersion)
@@ -88,7 +92,12 @@
         if (deadline.remainingMs(monotonicMs()) <= 0) return refusal(request, rule, NotRunReason.DEADLINE_PASSED)
         if (deadline.atMs > endMs) return refusal(request, rule, NotRunReason.LEAVING)
         val call = call(request, rule, service, requestId, deadline)
-        val result = dispatch(call, AttemptId(randomId()))
+        val admission = call.rank.team?.let { admitByQuota(it, deadline) } ?: QuotaAdmission.unlimited
+        val result =
+            when (admission) {
+                is QuotaAdmission.Refused -> return refusal(request, rule, NotRunReason.QUOTA_EXCEEDED, call, admission.retryAfterMs)
+                is QuotaAdmission.Granted -> dispatch(call, AttemptId(randomId())).also { if (it is AttemptResult.NotRun) admission.giveBack() }
+            }
         if (result is AttemptResult.NotRun) synchronized(recentRefusals) { recentRefusals.record(call.fingerprint, request.arrivedMs) }
         return reply(request, rule, call, result)
     }
@@ -138,11 +147,17 @@
             is AttemptResult.Unknown -> failure(request, call, rule, result.reason)
         }
 
-    private fun refusal(request: CallerRequest, rule: RouteRule?, reason: NotRunReason, call: IncomingCall? = null): CallerReply {
+    private fun refusal(
+        request: CallerRequest,
+        rule: RouteRule?,
+        reason: NotRunReason,
+        call: IncomingCall? = null,
+        retryAfterMs: Long? = null,
+    ): CallerReply {
         val deadlineMs = request.header(headers.deadlineMs)?.toLongOrNull() ?: 0
         val remainingMs = request.sentMs(deadlineMs) + deadlineMs - monotonicMs()
         val status = if (reason in callerErrors) reason.status() else NOT_RUN_STATUS
-        val retryDelayMs = retryDelay(rule, reason, remainingMs)
+        val retryDelayMs = retryAfterMs ?: retryDelay(rule, reason, remainingMs)
         record(request, RequestOutcome(FinalOutcome.NOT_RUN, status, reason.text, rule, call, retryDelayMs))
         val seconds = BigDecimal.valueOf(retryDelayMs, DIGITS_OF_MS).toPlainString()
         return emptyReply(status, echoedHeaders(request) + HeaderField(headers.retryAfter, seconds))
@@ -170,7 +185,7 @@
     }
 
     private companion object {
-        val callerErrors = setOf(NotRunReason.NO_ROUTE, NotRunReason.BAD_REQUEST)
+        val callerErrors = setOf(NotRunReason.NO_ROUTE, NotRunReason.BAD_REQUEST, NotRunReason.QUOTA_EXCEEDED)
         const val NOT_RUN_STATUS = 503
         const val FAILURE_STATUS = 502
         const val TIMEOUT_STATUS = 504
--- a/endivestep/src/main/kotlin/org/endivestep/outcome/Outcome.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/outcome/Outcome.kt
@@ -24,6 +24,7 @@
     UNKNOWN_KIND("unknown-kind"),
     NO_ROUTE("no-route"),
     COLD("cold"),
+    QUOTA_EXCEEDED("quota-exceeded"),
     ;
 
     companion object {
--- a/endivestep/src/main/kotlin/org/endivestep/outcome/OutcomeHeaders.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/outcome/OutcomeHeaders.kt
@@ -36,6 +36,7 @@
         NotRunReason.BAD_REQUEST -> 400
         NotRunReason.UNKNOWN_SERVICE, NotRunReason.UNKNOWN_KIND, NotRunReason.NO_ROUTE -> 404
         NotRunReason.KEY_REUSED -> 422
+        NotRunReason.QUOTA_EXCEEDED -> 429
         else -> 503
     }
 
--- a/endivestep/src/main/kotlin/org/endivestep/retry/RetryDecision.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/retry/RetryDecision.kt
@@ -47,6 +47,7 @@
         NotRunReason.UNKNOWN_SERVICE,
         NotRunReason.UNKNOWN_KIND,
         NotRunReason.NO_ROUTE,
+        NotRunReason.QUOTA_EXCEEDED,
         -> false
         else -> true
     }
