--- a/endivestep/src/main/kotlin/org/endivestep/quota/QuotaOwner.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/quota/QuotaOwner.kt
@@ -29,6 +29,7 @@
     private val heardMs = HashMap<VmName, Long>()
     private val sequences = HashMap<VmName, RecentSequences>()
     private var known: Set<VmName> = setOf(self)
+    private var seenView: QuotaView? = null
     private var updatedMs = NEVER
     private var ignoreUntilMs = 0L
     private var startsMs = 0L
@@ -47,6 +48,8 @@
     /** Takes the current members and limits over; to be called at least every [MAX_GAP_MS] / 2. */
     fun update(view: QuotaView, nowMs: Long) {
         if (updatedMs == NEVER || nowMs - updatedMs > MAX_GAP_MS) restart(nowMs)
+        if (view === seenView && nowMs - updatedMs < UPDATE_MS) return
+        seenView = view
         updatedMs = nowMs
         known = view.known
         heardMs.keys.retainAll(known)
@@ -121,6 +124,7 @@
 
         // A daemon that has just started knows few members at first.
         private const val FIRST_START_MS = 2_000L
+        private const val UPDATE_MS = 100L
         private const val QUEUED_MS = 300L
         private const val MAX_DEMANDS = 1_000
         private const val MAX_TOKENS = 1_000
