--- a/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
@@ -22,7 +22,6 @@
 import org.endivestep.outcome.NotRunReason
 import org.endivestep.outcome.UnknownReason
 import org.endivestep.outcome.status
-import org.endivestep.quota.QuotaAdmission
 import org.endivestep.quota.QuotaGate
 import org.endivestep.quota.noQuota
 import java.math.BigDecimal
@@ -92,12 +91,10 @@
         if (deadline.remainingMs(monotonicMs()) <= 0) return refusal(request, rule, NotRunReason.DEADLINE_PASSED)
         if (deadline.atMs > endMs) return refusal(request, rule, NotRunReason.LEAVING)
         val call = call(request, rule, service, requestId, deadline)
-        val admission = call.rank.team?.let { admitByQuota(it, deadline) } ?: QuotaAdmission.unlimited
-        val result =
-            when (admission) {
-                is QuotaAdmission.Refused -> return refusal(request, rule, NotRunReason.QUOTA_EXCEEDED, call, admission.retryAfterMs)
-                is QuotaAdmission.Granted -> dispatch(call, AttemptId(randomId())).also { if (it is AttemptResult.NotRun) admission.giveBack() }
-            }
+        val limited = withinQuota(admitByQuota, call.rank.team, deadline) { dispatch(call, AttemptId(randomId())) }
+        val result = limited.result
+        // A team over its limit must not gain the precedence of repeated requests.
+        if (limited.retryAfterMs != null) return refusal(request, rule, NotRunReason.QUOTA_EXCEEDED, call, limited.retryAfterMs)
         if (result is AttemptResult.NotRun) synchronized(recentRefusals) { recentRefusals.record(call.fingerprint, request.arrivedMs) }
         return reply(request, rule, call, result)
     }
--- a/endivestep/src/main/kotlin/org/endivestep/quota/QuotaMessages.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/quota/QuotaMessages.kt
@@ -8,12 +8,7 @@
 internal data class TokenDemand(val team: TeamName, val wanted: Int, val returned: Int)
 
 /** A request for tokens; one without demands only shows that [sender] reaches the owner. [sequence] grows within a [run] of the sender. */
-internal data class TokenRequest(
-    val sender: VmName,
-    val run: DaemonIncarnation,
-    val sequence: Long,
-    val demands: List<TokenDemand>,
-)
+internal data class TokenRequest(val sender: VmName, val run: DaemonIncarnation, val sequence: Long, val demands: List<TokenDemand>)
 
 /** Tokens granted to a team. [nextTokenMs] is the time until the next one, 0 when all tokens asked for were granted. */
 internal data class TokenGrant(val team: TeamName, val granted: Int, val nextTokenMs: Long)
--- a/endivestep/src/main/kotlin/org/endivestep/quota/QuotaService.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/quota/QuotaService.kt
@@ -38,7 +38,7 @@
     private val self: () -> MemberInfo,
     private val members: () -> List<MemberInfo>,
     private val document: () -> Document?,
-    tolerance: QuotaTolerance,
+    private val tolerance: QuotaTolerance,
     private val metrics: QuotaMetrics,
     private val clock: QuotaClock = QuotaClock(::monotonicMs, System::currentTimeMillis),
 ) {
@@ -83,6 +83,7 @@
                 logger.error(e) { "cannot receive quota datagrams at port ${inner.port + PORT_OFFSET}; only fallback allowances are used" }
                 null
             }
+        if (!tolerance.coversTokens) logger.warn { "the bounds of quotas leave no room for tokens of $TOKEN_VALIDITY_MS ms: $tolerance" }
         loops += BackgroundLoop.start("quota-send", ::sendStep)
         socket?.let { bound -> loops += BackgroundLoop.start("quota-receive") { receiveStep(bound) } }
     }
@@ -101,7 +102,13 @@
         val decided = CountDownLatch(1)
         val ticket = synchronized(tokens) { tokens.acquire(team, clock.nowMs()) { decided.countDown() } }
         if (ticket.decision == null) awaitDecision(ticket, decided, deadline)
-        return admission(team, ticket.decision ?: QuotaDecision.Refused(QuotaRefusal.NO_OWNER, QuotaTokens.MAX_WAIT_MS))
+        return admission(team, current(ticket.decision))
+    }
+
+    // A thread that was stopped after its request was granted a token must not use the token later.
+    private fun current(decision: QuotaDecision?): QuotaDecision {
+        val isExpired = decision is QuotaDecision.Granted && decision.token.expiresMs <= clock.nowMs()
+        return if (decision == null || isExpired) QuotaDecision.Refused(QuotaRefusal.NO_OWNER, QuotaTokens.MAX_WAIT_MS) else decision
     }
 
     private fun awaitDecision(ticket: QuotaTicket, decided: CountDownLatch, deadline: Deadline) {
@@ -153,14 +160,16 @@
         val known = currentMembers.filter { it.state != MemberState.LEFT }
         val live = known.filter { it.state != MemberState.DEAD }
         addresses = live.associate { it.vm to InetSocketAddress(it.inner.host, it.inner.port + PORT_OFFSET) }
-        val next = Snapshot(known.mapTo(HashSet()) { it.vm }, live.mapTo(HashSet()) { it.vm }, quotas(currentDocument))
-        if (next == Snapshot(view.known, view.live, view.quotas)) return
-        view = QuotaView(self().vm, next.known, next.live, next.quotas)
-        synchronized(tokens) { tokens.update(view) }
+        val knownVms = known.mapTo(HashSet()) { it.vm }
+        val liveVms = live.mapTo(HashSet()) { it.vm }
+        val quotas = quotas(currentDocument)
+        val isConfigured = currentDocument != null
+        // Most changes of members concern only their workers.
+        if (knownVms == view.known && liveVms == view.live && quotas == view.quotas && isConfigured == view.isConfigured) return
+        view = QuotaView(self().vm, knownVms, liveVms, quotas, isConfigured)
+        synchronized(tokens) { tokens.update(view, clock.nowMs()) }
     }
 
-    private data class Snapshot(val known: Set<VmName>, val live: Set<VmName>, val quotas: Map<TeamName, TeamQuota>)
-
     private fun quotas(document: Document?): Map<TeamName, TeamQuota> =
         buildMap {
             document?.teams?.teams?.forEach { team -> team.quota?.takeIf { it.ratePerSecond > 0 }?.let { put(team.name, it) } }
--- a/endivestep/src/main/kotlin/org/endivestep/quota/QuotaTokens.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/quota/QuotaTokens.kt
@@ -23,9 +23,12 @@
     firstSequence: Long,
 ) {
     private val teams = LinkedHashMap<TeamName, TeamTokens>()
-    
+
     /** Until when owners that did not reply are not asked. */
     private val silentUntilMs = HashMap<VmName, Long>()
+
+    /** Until when teams that had no limit before are not limited yet, because no owner grants their tokens so early. */
+    private val graceUntilMs = HashMap<TeamName, Long>()
     private val contactMs = HashMap<VmName, Long>()
     private var view: QuotaView? = null
     private var sequence = firstSequence
@@ -37,9 +40,14 @@
     var expiredTokens = 0L
         private set
 
-    fun update(changed: QuotaView) {
+    /** Takes the current members and limits over. */
+    fun update(changed: QuotaView, nowMs: Long) {
         val before = view
         view = changed
+        if (before?.isConfigured == true) {
+            changed.quotas.keys.filter { it !in before.quotas }.forEach { graceUntilMs[it] = nowMs + NEW_LIMIT_GRACE_MS }
+        }
+        graceUntilMs.keys.retainAll(changed.quotas.keys)
         teams.filterKeys { it !in changed.quotas }.keys.forEach(::abandon)
         teams.forEach { (name, team) -> if (before?.quotas?.get(name) != changed.quotas[name]) team.emptyUntilMs.clear() }
         silentUntilMs.keys.retainAll(changed.allOwners)
@@ -56,17 +64,29 @@
         }
         val state = teams.getOrPut(team) { TeamTokens(FallbackAllowance(random)) }
         state.noteDemand(nowMs)
+        if (isInGrace(team, nowMs)) {
+            state.needsProbe = true
+            ticket.decide(QuotaDecision.Granted(Token(null, nowMs + TOKEN_VALIDITY_MS)))
+            return ticket
+        }
         decideAtOnce(state, team, quota, nowMs)?.let(ticket::decide) ?: state.waiting.addLast(ticket)
         return ticket
     }
 
+    private fun isInGrace(team: TeamName, nowMs: Long): Boolean {
+        val untilMs = graceUntilMs[team] ?: return false
+        if (nowMs >= untilMs) graceUntilMs.remove(team)
+        return nowMs < untilMs
+    }
+
     private fun decideAtOnce(state: TeamTokens, team: TeamName, quota: TeamQuota, nowMs: Long): QuotaDecision? {
         if (state.waiting.isEmpty()) state.take(nowMs)?.let { return QuotaDecision.Granted(it) }
+        if (usesFallback(state, nowMs) && nowMs - (state.askedMs.values.maxOrNull() ?: NEVER) <= RECENT_ASK_MS) {
+            state.needsProbe = true
+            return fallback(state, quota, nowMs)
+        }
         if (state.waiting.size < coveredCount(state, nowMs)) return null
-        emptyUntilMs(state, team, nowMs)?.let { return limited(state, it, nowMs) }
-        if (!usesFallback(state, nowMs) || nowMs - (state.askedMs.values.maxOrNull() ?: NEVER) > RECENT_ASK_MS) return null
-        state.needsProbe = true
-        return fallback(state, quota, nowMs)
+        return emptyUntilMs(state, team, nowMs)?.let { limited(state, it, nowMs) }
     }
 
     /** Withdraws [ticket] where it still waits. */
@@ -117,15 +137,17 @@
             val demand = state.pending.firstOrNull { it.sequence == reply.sequence } ?: return@forEach
             state.pending.remove(demand)
             silentUntilMs.remove(demand.owner)
-            receive(state, demand, reply, reply.grants.firstOrNull { it.team == name }, nowMs)
+            val grant = reply.grants.firstOrNull { it.team == name }
+            if (grant == null || !reply.isGranting) {
+                state.foreignUntilMs[demand.owner] = nowMs + FOREIGN_MS
+            } else {
+                graceUntilMs.remove(name)
+                receive(state, demand, grant, nowMs)
+            }
         }
     }
 
-    private fun receive(state: TeamTokens, demand: PendingDemand, reply: TokenReply, grant: TokenGrant?, nowMs: Long) {
-        if (grant == null || !reply.isGranting) {
-            state.foreignUntilMs[demand.owner] = nowMs + FOREIGN_MS
-            return
-        }
+    private fun receive(state: TeamTokens, demand: PendingDemand, grant: TokenGrant, nowMs: Long) {
         state.unanswered = 0
         state.needsProbe = false
         state.fallback.end()
@@ -238,7 +260,15 @@
     }
 
     // Tokens that were asked for so recently that the reply may still come.
-    private fun coveredCount(state: TeamTokens, nowMs: Long): Int = state.pending.sumOf { if (nowMs - it.sentMs < REPLY_MS) it.wanted else 0 }
+    private fun coveredCount(state: TeamTokens, nowMs: Long): Int = state.pending.sumOf {
+        if (nowMs - it.sentMs <
+            REPLY_MS
+        ) {
+            it.wanted
+        } else {
+            0
+        }
+    }
 
     private fun chooseOwner(state: TeamTokens, name: TeamName, nowMs: Long): VmName? {
         val owners = view?.owners(name).orEmpty()
@@ -289,6 +319,9 @@
         private const val RECENT_ASK_MS = 1_000L
         private const val MAX_EMPTY_MS = 2_000L
         private const val MAX_WANTED = 256
+
+        // An owner grants a team's tokens QuotaOwner.OWNER_MS after it has read the limit, and may read it up to 2.5 s later than this daemon.
+        private const val NEW_LIMIT_GRACE_MS = 2_500L
         private const val IDLE_MS = 10_000L
         private const val MAX_IDLE_MS = 1_000L
         private const val MIN_STEP_MS = 1L
--- a/endivestep/src/main/kotlin/org/endivestep/quota/QuotaTolerance.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/quota/QuotaTolerance.kt
@@ -14,6 +14,9 @@
     /** Tokens that the bucket of each owner holds beyond its share of the burst, so that a token is not lost while nobody asks for it. */
     val headroom: Double get() = minOf(MAX_HEADROOM, slack / SLACK_PARTS)
 
+    /** Whether tokens that were granted before a span fit into the share [overshoot] of it. */
+    val coversTokens: Boolean get() = overshoot * windowMs >= TOKEN_VALIDITY_MS
+
     /** Returns the requests per second that all daemons together may run without an owner's tokens. */
     fun fallbackPerSecond(quota: TeamQuota): Double {
         val spare = quota.burst * overshoot + slack - headroom * OWNERS_PER_TEAM
--- a/endivestep/src/main/kotlin/org/endivestep/quota/QuotaView.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/quota/QuotaView.kt
@@ -10,7 +10,14 @@
  *
  * [known] holds all members that have not left, dead ones too, and [live] those that are not dead.
  */
-internal class QuotaView(val self: VmName, val known: Set<VmName>, val live: Set<VmName>, val quotas: Map<TeamName, TeamQuota>) {
+internal class QuotaView(
+    val self: VmName,
+    val known: Set<VmName>,
+    val live: Set<VmName>,
+    val quotas: Map<TeamName, TeamQuota>,
+    /** Whether a configuration is known; without one it is not known either which teams are limited. */
+    val isConfigured: Boolean = true,
+) {
     private val owners: Map<TeamName, List<VmName>> = rankOwners(live, quotas.keys)
 
     /** Teams of which [self] grants tokens. */
@@ -27,7 +34,7 @@
 
     companion object {
         /** The view of a daemon that knows no other one and no limits. */
-        fun initial(self: VmName) = QuotaView(self, setOf(self), setOf(self), emptyMap())
+        fun initial(self: VmName) = QuotaView(self, setOf(self), setOf(self), emptyMap(), isConfigured = false)
     }
 }
 
--- a/endivestep/src/test/kotlin/org/endivestep/quota/QuotaFleet.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/quota/QuotaFleet.kt
@@ -64,7 +64,7 @@
             live[index] = true
             known[index] = true
             view = QuotaView(vm, nodes.filter { known[it.index] }.mapTo(HashSet()) { it.vm }, vmsOf(live), quotas)
-            tokens.update(view)
+            tokens.update(view, nowMs)
         }
 
         private fun vmsOf(flags: BooleanArray): Set<VmName> = nodes.filter { flags[it.index] }.mapTo(HashSet()) { it.vm }
--- a/endivestep/src/test/kotlin/org/endivestep/quota/QuotaModelTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/quota/QuotaModelTest.kt
@@ -36,7 +36,8 @@
         val node = fleet.nodes[random.nextInt(fleet.count)]
         val kind = random.nextInt(8)
         val lengthMs = durationMs(15_000)
-        log += "$startMs: ${listOf("loss", "delay", "stop", "suspend", "restart", "partition", "isolation", "stop of many")[kind]} $lengthMs"
+        log +=
+            "$startMs: ${listOf("loss", "delay", "stop", "suspend", "restart", "partition", "isolation", "stop of many")[kind]} $lengthMs"
         fleet.at(startMs) {
             when (kind) {
                 0 -> fleet.links = Links(loss = random.nextDouble() * 0.5, duplicates = 0.1)
@@ -93,7 +94,11 @@
                         }
                     }
                 }
-                println("quota bound: $count daemons, $seeds seeds, highest share of the bound ${worst.map { "${it.key.text} %.2f".format(it.value) }}")
+                println(
+                    "quota bound: $count daemons, $seeds seeds, highest share of the bound ${worst.map {
+                        "${it.key.text} %.2f".format(it.value)
+                    }}",
+                )
             }
         }
 
@@ -165,7 +170,10 @@
         // Guards against the loss of a team's whole allowance with one of its owners.
         test("most of what the limit allows is granted while a tenth of the daemons is killed") {
             listOf(10, 65, 300).forEach { count ->
-                val quotas = (1..20).associate { TeamName("team-$it") to TeamQuota(if (it % 2 == 0) 2.0 else 40.0, if (it % 2 == 0) 2.0 else 40.0) }
+                val quotas = (1..20).associate {
+                    TeamName("team-$it") to
+                        TeamQuota(if (it % 2 == 0) 2.0 else 40.0, if (it % 2 == 0) 2.0 else 40.0)
+                }
                 val fleet = QuotaFleet(5, count, quotas)
                 val endMs = WARM_UP_MS + 30_000
                 quotas.forEach { (team, quota) -> fleet.load(team, { quota.ratePerSecond * 2 }, endMs) { splits[0].pick(fleet) } }
