--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -70,6 +70,7 @@
 import org.endivestep.protocol.LoadNotices
 import org.endivestep.protocol.PeerAuthentication
 import org.endivestep.protocol.PeerChannels
+import org.endivestep.protocol.QuotaCodec
 import org.endivestep.protocol.RecentSenders
 import org.endivestep.protocol.RolloutDatagrams
 import org.endivestep.protocol.callExecutorSupplier
@@ -78,6 +79,9 @@
 import org.endivestep.quarantine.Quarantine
 import org.endivestep.quarantine.suspicionLog
 import org.endivestep.rollout.everyVersionPermitted
+import org.endivestep.quota.QuotaMetrics
+import org.endivestep.quota.QuotaService
+import org.endivestep.quota.QuotaTolerance
 import org.endivestep.settings.Address
 import org.endivestep.store.CurrentStoreEra
 import org.endivestep.store.StoreEra
@@ -110,7 +114,10 @@
     private val store = platformStore(settings.store, connections, STORE_TIMEOUT_MS, storeEra)
     private val overrides: Overrides = Overrides(System::currentTimeMillis) { applier.overridden() }
     private val adoption: ConfigurationAdoption =
-        ConfigurationAdoption({ name, text -> readOperatorDocument(name, text, documentDefaults(settings)) }) { applier.adopted(it) }
+        ConfigurationAdoption({ name, text -> readOperatorDocument(name, text, documentDefaults(settings)) }) {
+            applier.adopted(it)
+            quotas.startIfNeeded()
+        }
     private val profiles = KindProfiles()
     private val workers = WorkerRegistry()
     private val admission = AdmissionQueue(limitsBeforeHeartbeat, ::monotonicMs)
@@ -178,6 +185,16 @@
             val socket = udpSocket(FreshnessDatagrams.PORT_OFFSET)
             FreshnessDuties(it, gossip, adoption, fetcher, ::document, storeDuties::confirmedPosition, socket, random)
         }
+    private val quotas: QuotaService =
+        QuotaService(
+            inner,
+            QuotaCodec(security),
+            { gossip.self },
+            { gossip.members },
+            ::document,
+            settings.bounds.quota?.let { QuotaTolerance(it.windowMs, it.overshoot, it.slack) } ?: QuotaTolerance(),
+            QuotaMetrics(metrics.registry),
+        )
     private val ingress =
         RoutedIngress(
             settings.service,
@@ -188,6 +205,7 @@
             retryDelays::delayMs,
             counters,
             ::keysAreCurrent,
+            quotas::admit,
         ) { adoption.version.number }
     private val startupHold =
         StartupHold(platformHeaders, ::monotonicMs, { request -> ingress.canServe(request) { routes.routes(it).isNotEmpty() } })
@@ -238,6 +256,8 @@
         rollouts?.registerGauges(metrics)
         freshness?.registerGauges(metrics)
         freshness?.start()
+        quotas.startIfNeeded(always = settings.bounds.quota != null)
+        registerQuotaGauges(metrics, quotas)
         startProbe.start()
         servers.callers.start()
         logger.info { "daemon ${settings.vm.text} serves callers at ${settings.callers}" }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
@@ -23,6 +23,8 @@
 import org.endivestep.outcome.NotRunReason
 import org.endivestep.outcome.UnknownReason
 import org.endivestep.outcome.status
+import org.endivestep.quota.QuotaGate
+import org.endivestep.quota.noQuota
 import java.math.BigDecimal
 import java.util.concurrent.atomic.AtomicInteger
 
@@ -43,6 +45,7 @@
     private val counters: OutcomeCounters,
     /** Whether the configuration in force here is known to be recent enough for its keys to be accepted. */
     private val keysAreCurrent: () -> Boolean = { true },
+    private val admitByQuota: QuotaGate = noQuota,
     configurationVersion: () -> Long,
 ) {
     private val log = RequestLog(headers, configurationVersion)
@@ -104,7 +107,10 @@
         if (deadline.remainingMs(monotonicMs()) <= 0) return refusal(request, rule, NotRunReason.DEADLINE_PASSED)
         if (deadline.atMs > endMs) return refusal(request, rule, NotRunReason.LEAVING)
         val call = call(request, rule, service, requestId, deadline, identity)
-        val result = dispatch(call, AttemptId(randomId()))
+        val limited = withinQuota(admitByQuota, call.rank.team, deadline) { dispatch(call, AttemptId(randomId())) }
+        val result = limited.result
+        // A team over its limit must not gain the precedence of repeated requests.
+        if (limited.retryAfterMs != null) return refusal(request, rule, NotRunReason.QUOTA_EXCEEDED, call, limited.retryAfterMs)
         if (result is AttemptResult.NotRun) synchronized(recentRefusals) { recentRefusals.record(call.fingerprint, request.arrivedMs) }
         return reply(request, rule, call, result)
     }
@@ -182,11 +188,17 @@
             is AttemptResult.Unknown -> failure(request, call, rule, result.reason)
         }
 
-    private fun refusal(request: CallerRequest, rule: RouteRule?, reason: NotRunReason, call: IncomingCall? = null): CallerReply {
+    private fun refusal(
+        request: CallerRequest,
+        rule: RouteRule?,
+        reason: NotRunReason,
+        call: IncomingCall? = null,
+        retryAfterMs: Long? = null,
+    ): CallerReply {
         val deadlineMs = request.header(headers.deadlineMs)?.toLongOrNull() ?: 0
         val remainingMs = request.sentMs(deadlineMs) + deadlineMs - monotonicMs()
         val status = if (reason in callerErrors) reason.status() else NOT_RUN_STATUS
-        val retryDelayMs = retryDelay(rule, reason, remainingMs)
+        val retryDelayMs = retryAfterMs ?: retryDelay(rule, reason, remainingMs)
         record(request, RequestOutcome(FinalOutcome.NOT_RUN, status, reason.text, rule, call, retryDelayMs))
         val seconds = BigDecimal.valueOf(retryDelayMs, DIGITS_OF_MS).toPlainString()
         return emptyReply(status, echoedHeaders(request) + challenge(reason) + HeaderField(headers.retryAfter, seconds))
@@ -218,7 +230,8 @@
     }
 
     private companion object {
-        val callerErrors = setOf(NotRunReason.NO_ROUTE, NotRunReason.BAD_REQUEST, NotRunReason.UNAUTHORIZED)
+        val callerErrors =
+            setOf(NotRunReason.NO_ROUTE, NotRunReason.BAD_REQUEST, NotRunReason.UNAUTHORIZED, NotRunReason.QUOTA_EXCEEDED)
         const val NOT_RUN_STATUS = 503
         const val FAILURE_STATUS = 502
         const val TIMEOUT_STATUS = 504
--- a/endivestep/src/main/kotlin/org/endivestep/outcome/OutcomeHeaders.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/outcome/OutcomeHeaders.kt
@@ -37,6 +37,7 @@
         NotRunReason.UNAUTHORIZED -> 401
         NotRunReason.UNKNOWN_SERVICE, NotRunReason.UNKNOWN_KIND, NotRunReason.NO_ROUTE -> 404
         NotRunReason.KEY_REUSED -> 422
+        NotRunReason.QUOTA_EXCEEDED -> 429
         else -> 503
     }
 
--- a/endivestep/src/main/kotlin/org/endivestep/retry/RetryDecision.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/retry/RetryDecision.kt
@@ -49,6 +49,7 @@
         NotRunReason.NO_ROUTE,
         NotRunReason.UNAUTHORIZED,
         NotRunReason.CONFIGURATION_STALE,
+        NotRunReason.QUOTA_EXCEEDED,
         -> false
         else -> true
     }
