Share a worker's slots fairly between teams, and refuse early what cannot begin in time

A crowd of one team took the workers from all others, and requests of low precedence were queued, overtaken and refused late. Requests with a team are now ordered by start-time fair queueing over expected work after nested calls, priority and lateness; lower priorities keep a tenth of the slots' time; the expected wait counts what requests of higher precedence took recently; the last in the order is refused in a full queue. Without teams nothing changes.

--- a/endivestep/src/main/kotlin/org/endivestep/admission/AdmissionQueue.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/admission/AdmissionQueue.kt
@@ -125,20 +125,36 @@
             val waiter = Waiter(request, lock.newCondition())
             val longestMs = minOf(request.maxWaitMs, settings.queueWaitMs)
             waiter.recordExpectedWait(expectedWaitMs(waiter, nowMs), nowMs)
-            val isFull = longestMs <= 0 || waiting.size >= settings.queueLength
-            if (isFull || waiting.refuses(waiter, nowMs) || expectedWaitMs(waiter, nowMs) > longestMs) {
+            waiter.waitsUntilMs = nowMs + longestMs
+            if (longestMs <= 0 || waiting.refuses(waiter, nowMs) || expectedWaitMs(waiter, nowMs) > longestMs || !makeRoom(waiter, nowMs)) {
                 return Admission.Refused(NotRunReason.OVERLOADED)
             }
-            return await(waiter, nowMs + longestMs)
+            return await(waiter)
         }
     }
 
+    // In a full queue, the last request in the order is refused. Without teams, it is the newcomer.
+    private fun makeRoom(newcomer: Waiter, nowMs: Long): Boolean {
+        if (waiting.size < settings.queueLength) return true
+        if (!waiting.hasTeams) return false
+        val last = waiting.last(nowMs) ?: return false
+        if (last.rank.team == null || !waiting.precedes(newcomer, last, nowMs)) return false
+        resolve(last, Admission.Refused(NotRunReason.OVERLOADED))
+        return true
+    }
+
+    // A request that goes before others makes them wait longer.
+    private fun refuseOverdue(nowMs: Long) {
+        if (!waiting.hasTeams) return
+        waiting.overdue(slots(), nowMs).forEach { resolve(it, Admission.Refused(NotRunReason.OVERLOADED)) }
+    }
+
+    private fun slots(): Int = limit.load.limit.coerceAtLeast(1)
+
     // A request of unknown processing time is queued: no wait is estimated for it.
     private fun expectedWaitMs(waiter: Waiter, nowMs: Long): Double {
         if (waiter.workMs <= 0.0) return 0.0
-        val slots = limit.load.limit.coerceAtLeast(1)
-        val aheadMs = waiting.workAheadMs(waiter, nowMs)
-        return maxOf((aheadMs + waiter.workMs / 2) / slots, coldRateLimiter.delayMs(nowMs).toDouble())
+        return maxOf(waiting.expectedWaitMs(waiter, slots(), nowMs), coldRateLimiter.delayMs(nowMs).toDouble())
     }
 
     /** Records the end of an admitted request. */
@@ -152,8 +168,10 @@
         onLoad()
     }
 
-    private fun await(waiter: Waiter, untilMs: Long): Admission {
+    private fun await(waiter: Waiter): Admission {
+        val untilMs = waiter.waitsUntilMs
         waiting.add(waiter)
+        refuseOverdue(clockMs())
         try {
             while (waiter.admission == null) {
                 val nowMs = clockMs()
@@ -208,6 +226,7 @@
         if (coldRateLimiter.delayMs(nowMs) > 0) return null
         val permit = limit.tryAcquire(nowMs)?.copy(hasLargeAnswer = request.hasLargeAnswer) ?: return null
         coldRateLimiter.recordSent(nowMs)
+        waiting.recordBegun(request.rank, request.workMs, nowMs)
         exclusiveRunning = occupancy == Occupancy.ALONE
         if (request.hasLargeAnswer) largeAnswersRunning++
         onLoad()
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -43,6 +43,7 @@
 import org.endivestep.membership.MemberInfo
 import org.endivestep.membership.MemberState
 import org.endivestep.membership.newDaemonIncarnation
+import org.endivestep.metrics.AdmissionMetrics
 import org.endivestep.metrics.DaemonMetrics
 import org.endivestep.metrics.OutcomeCounters
 import org.endivestep.outcome.AttemptResult
@@ -92,6 +93,7 @@
     private val inner = Address(settings.host, settings.ports.first)
     private val metrics = DaemonMetrics()
     private val counters = OutcomeCounters(metrics.registry)
+    private val admissionMetrics = AdmissionMetrics(metrics.registry, ::monotonicMs)
     private val random = RandomGenerator.of("L64X128MixRandom")
     private val pools = DaemonPools()
     private val loops = NioEventLoopGroup(EVENT_LOOP_THREADS)
@@ -118,6 +120,7 @@
             attempts,
             crashes,
             platformAnswerInterpreter,
+            onAdmission = admissionMetrics::record,
             call = nettyWorkerCall(connections, platformHeaders),
         )
     private val channels = PeerChannels(security, loops)
--- a/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
@@ -14,6 +14,7 @@
 import org.endivestep.exchange.AttemptRequest
 import org.endivestep.identity.AttemptId
 import org.endivestep.identity.DataCentreName
+import org.endivestep.metrics.AdmissionRecord
 import org.endivestep.metrics.LogEntry
 import org.endivestep.metrics.RateLimitedLog
 import org.endivestep.outcome.AttemptResult
@@ -44,6 +45,8 @@
     /** Processing times of the worker by kind, measured here: other daemons send kinds that this daemon never sends itself. */
     private val processingTimes: KindProfiles = KindProfiles(),
     private val clockNanos: () -> Long = System::nanoTime,
+    /** Receives the admission decisions while the configuration has teams. */
+    private val onAdmission: (AdmissionRecord) -> Unit = { },
     private val call: WorkerCall,
 ) {
     private val log = RateLimitedLog(logger, LOG_LINES_PER_SECOND, ::nowMs)
@@ -73,12 +76,21 @@
         val service = document()?.services?.get(request.service) ?: return refuse(NotRunReason.NO_CONFIGURATION)
         val worker = workers.worker
         refusal(request, worker)?.let { return refuse(it) }
-        return when (val decision = admission.admit(admissionRequest(request))) {
+        return when (val decision = admit(request)) {
             is Admission.Refused -> refuse(decision.reason)
             is Admission.Admitted -> runAdmitted(request, service, checkNotNull(worker), decision.permit, onAdmitted)
         }
     }
 
+    private fun admit(request: AttemptRequest): Admission {
+        if (document()?.teams?.isEmpty != false) return admission.admit(admissionRequest(request))
+        val arrivedMs = nowMs()
+        val decision = admission.admit(admissionRequest(request))
+        val refusal = (decision as? Admission.Refused)?.reason
+        onAdmission(AdmissionRecord(request.kind, request.rank, nowMs() - arrivedMs, refusal, admission.load))
+        return decision
+    }
+
     private fun refusal(request: AttemptRequest, worker: LocalWorker?): NotRunReason? =
         when {
             document()?.isIn(dataCentre) != true -> NotRunReason.DATA_CENTRE_OUT
