Send a second attempt of a slow request to another worker where the settings ask for it

A worker that is slow for some 100 ms, or one slow request in a hundred, decides the slowest responses. The first attempt still runs on the caller's thread; a timer starts the second one after the 0.95 quantile of its kind's response times, within a share of the service's requests, its retry budget and the attempts of its route. Off by default; without it, a request runs as before.

--- a/endivestep/src/main/kotlin/org/endivestep/choice/CompletionEstimates.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/choice/CompletionEstimates.kt
@@ -66,6 +66,21 @@
         return avoidedMs + workMs + queueMs(load, occupied, workMs)
     }
 
+    /**
+     * Returns the time in ms that [vm] would take for a second attempt of a request of [kind], or null when it is not known to have room:
+     * by its last report, which must be recent, at most [MAX_SECOND_SHARE] of its slots are taken with the attempt. The last slots
+     * of a worker are for first attempts.
+     */
+    fun secondAttemptMs(vm: VmName, kind: KindName): Double? {
+        val entry = entries[vm] ?: return null
+        val load = entry.load ?: return null
+        val nowMs = clockMs()
+        if (nowMs - entry.reportedMs > STALE_AFTER_MS || nowMs < entry.avoidUntilMs || load.waiting > 0) return null
+        val taken = load.inFlight + (entry.ownInFlight - entry.ownInFlightAtReport).coerceAtLeast(0) + 1
+        if (taken > load.limit * MAX_SECOND_SHARE) return null
+        return completionMs(profiles.usualMs(kind) * factor(entry, nowMs), load.slownessPercent)
+    }
+
     // The reported load decays with age, so that a worker without new reports is tried again; a refusal then reports its load.
     private fun occupiedSlots(load: Load, ageMs: Long): Double =
         (load.inFlight + load.waiting) * Math.pow(0.5, ageMs.toDouble() / LOAD_HALF_LIFE_MS)
@@ -100,6 +115,7 @@
         const val FACTOR_WEIGHT = 0.15
         const val FACTOR_HALF_LIFE_MS = 2_000.0
         const val MAX_FACTOR = 20.0
+        const val MAX_SECOND_SHARE = 0.75
     }
 }
 
--- a/endivestep/src/main/kotlin/org/endivestep/choice/WorkerChoice.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/choice/WorkerChoice.kt
@@ -81,6 +81,17 @@
         return (IDLE_SHARE + utilisation(vm)) * workerMs
     }
 
+    /**
+     * Returns the time in ms that requests take at [vm], or null when the worker is not known to have room for a second attempt of a
+     * request: by its last report, at most [MAX_SECOND_SHARE] of its limit is taken with the attempt.
+     */
+    fun secondAttemptMs(vm: VmName): Double? {
+        val entry = entries[vm] ?: return null
+        val isKnown = entry.limit > 0 && entry.timeRecordedMs != 0L && clockMs() - entry.reportedMs <= RECENT_MS
+        if (!isKnown || utilisation(vm) + 1.0 / entry.limit > MAX_SECOND_SHARE) return null
+        return entry.workerMs.coerceAtLeast(MIN_WORKER_MS)
+    }
+
     private fun recordTime(entry: Entry, workerMs: Long) {
         val sample = workerMs.toDouble()
         entry.workerMs = if (entry.timeRecordedMs == 0L) sample else entry.workerMs + (sample - entry.workerMs) * TIME_WEIGHT
@@ -103,6 +114,8 @@
         const val TIME_WEIGHT = 0.3
         const val MIN_WORKER_MS = 1.0
         const val IDLE_SHARE = 0.05
+        const val RECENT_MS = 1_500L
+        const val MAX_SECOND_SHARE = 0.75
     }
 }
 
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/Daemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/Daemon.kt
@@ -120,7 +120,8 @@
     private val claims = Claims(store, settings.vm, System::currentTimeMillis)
     private val droppedClaims = AtomicLong()
     private val claimTasks = ClaimTaskExecutor(claims) { droppedClaims.incrementAndGet() }
-    private val dispatcher = Dispatcher(::routesOf, loads, ::choose, attempt = ::attempt)
+    private val hedging = hedging(settings.hedging, pools, metrics.registry, { !stopping }) { vm, _ -> loads.secondAttemptMs(vm) }
+    private val dispatcher = Dispatcher(::routesOf, loads, ::choose, hedging = hedging, attempt = ::attempt)
     private val ingress = Ingress(::document, dispatcher, claims, claimTasks, counters)
     private val prober = IdleProber(egress, { workers.worker }, ::document, ::probeOverHttp) { crashes.workerNotListening(it) }
     private val unauthenticatedCalls = AtomicLong()
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/DaemonPools.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/DaemonPools.kt
@@ -3,6 +3,8 @@
 import java.util.concurrent.ExecutorService
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.RejectedExecutionException
+import java.util.concurrent.ScheduledExecutorService
+import java.util.concurrent.ScheduledThreadPoolExecutor
 import java.util.concurrent.SynchronousQueue
 import java.util.concurrent.ThreadPoolExecutor
 import java.util.concurrent.TimeUnit
@@ -22,6 +24,14 @@
     /** Sends large request bodies to other daemons. */
     val uploads: ExecutorService = cachedPool("upload", MAX_UPLOAD_THREADS)
 
+    /** Runs second attempts of requests; a task is rejected if no thread is available. */
+    val secondAttempts: ExecutorService = cachedPool("second", MAX_SECOND_THREADS)
+
+    /** Starts second attempts when they are due; has a thread only once it is used. */
+    val secondTimer: ScheduledExecutorService by lazy {
+        ScheduledThreadPoolExecutor(1) { newThread("second-timer", it) }.also { it.removeOnCancelPolicy = true }
+    }
+
     /** Runs callbacks of the transport, which do not block. */
     val transport: ExecutorService = fixedPool("transport", TRANSPORT_THREADS, TRANSPORT_QUEUE)
 
@@ -53,6 +63,7 @@
 
     private companion object {
         const val MAX_REQUEST_THREADS = 400
+        const val MAX_SECOND_THREADS = 50
         const val MAX_UPLOAD_THREADS = 100
         const val MAX_PLATFORM_THREADS = 8
         const val TRANSPORT_THREADS = 4
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -146,6 +146,7 @@
             earliestCompletion(locality, estimates),
             RerouteSettings(MAX_REROUTES, REROUTE_MAX_QUEUE_WAIT_MS),
             { stopTime.sendWindowMs(it, monotonicMs()) },
+            hedging(settings.hedging, pools, metrics.registry, { !stopping }, estimates::secondAttemptMs),
             ::attempt,
         )
     private val senders = RecentSenders(::monotonicMs)
--- a/endivestep/src/main/kotlin/org/endivestep/exchange/AttemptRequest.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/exchange/AttemptRequest.kt
@@ -64,8 +64,14 @@
     fun withStreamedBody(limit: Int): AttemptRequest {
         val bytes = (body as? RequestBody.Inline)?.bytes
         if (bytes == null || bytes.size <= limit) return this
-        val streamed = RequestBody.Streamed(bytes.inputStream(), bytes.size.toLong())
-        return AttemptRequest(
+        return copy(RequestBody.Streamed(bytes.inputStream(), bytes.size.toLong()), cancellation)
+    }
+
+    /** Returns this request with [cancellation] in place of its own. */
+    fun withCancellation(cancellation: Cancellation): AttemptRequest = copy(body, cancellation)
+
+    private fun copy(body: RequestBody, cancellation: Cancellation) =
+        AttemptRequest(
             requestId,
             attemptId,
             service,
@@ -73,12 +79,11 @@
             method,
             path,
             headers,
-            streamed,
+            body,
             deadline,
             fingerprint,
             rank,
             maxWaitMs,
             cancellation,
         )
-    }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/AttemptHistory.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/AttemptHistory.kt
@@ -7,7 +7,7 @@
 
 /** Attempts made so far for one request. Not thread-safe. */
 internal class AttemptHistory {
-    private val triedVms = mutableSetOf<VmName>()
+    private val tried = mutableSetOf<VmName>()
     private var last: AttemptResult? = null
     private var unknown: AttemptResult.Unknown? = null
 
@@ -21,18 +21,36 @@
     /** One entry for each attempt: its VM, its result and its duration in ms; then why no other attempt followed. */
     val trace = mutableListOf<String>()
 
-    val count: Int get() = triedVms.size
+    /** Whether two attempts ran at the same time. */
+    var wasHedged = false
+        private set
+
+    val count: Int get() = tried.size
 
-    fun wasTried(vm: VmName): Boolean = vm in triedVms
+    fun wasTried(vm: VmName): Boolean = vm in tried
+
+    /** Returns a copy of the VMs that were tried. */
+    fun triedVms(): Set<VmName> = tried.toSet()
 
     fun add(vm: VmName, result: AttemptResult, elapsedMs: Long) {
         trace += "${vm.text}=${result.summary()}/${elapsedMs}ms"
-        triedVms += vm
+        tried += vm
         last = result
         if (result.isWorkerReply()) workerReplied = true
         if (result is AttemptResult.Unknown) unknown = result
     }
 
+    /**
+     * Records the attempt beside the one that is added next: it ran at the same time and its result is not used, or it was cancelled
+     * and has none.
+     */
+    fun addOther(vm: VmName, result: AttemptResult?, elapsedMs: Long) {
+        wasHedged = true
+        if (result != null) return add(vm, result, elapsedMs)
+        trace += "${vm.text}=cancelled/${elapsedMs}ms"
+        tried += vm
+    }
+
     /** Records that another attempt was possible, but the retry budget did not allow it. */
     fun noteBudgetExhausted() {
         trace += "retry-budget-exhausted"
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
@@ -6,12 +6,16 @@
 import org.endivestep.choice.WorkerLoads
 import org.endivestep.document.RetrySettings
 import org.endivestep.exchange.AttemptRequest
+import org.endivestep.exchange.Cancellation
 import org.endivestep.exchange.monotonicMs
 import org.endivestep.identity.AttemptId
 import org.endivestep.identity.ServiceName
+import org.endivestep.identity.VmName
 import org.endivestep.identity.randomId
+import org.endivestep.metrics.HedgeEvent
 import org.endivestep.outcome.AttemptResult
 import org.endivestep.outcome.NotRunReason
+import org.endivestep.outcome.UnknownReason
 import org.endivestep.retry.NextStep
 import org.endivestep.retry.RetryBudget
 import org.endivestep.retry.RetryFacts
@@ -48,6 +52,8 @@
     private val rerouting: RerouteSettings = noRerouting,
     /** Returns the time in ms during which a request may still be sent to a worker, see [StopTime]. */
     private val sendWindowMs: (IncomingCall) -> Long = { Long.MAX_VALUE },
+    /** Sends second attempts while the first one runs; null when there are none. */
+    private val hedging: Hedging? = null,
     private val attempt: AttemptCall,
 ) {
     private val budgets = HashMap<ServiceName, RetryBudget>()
@@ -58,15 +64,14 @@
      */
     fun dispatch(call: IncomingCall, firstAttempt: AttemptId): AttemptResult {
         val history = AttemptHistory()
+        hedging?.noteRequest(call)
         var attemptId = firstAttempt
         while (true) {
             val windowMs = sendWindowMs(call)
             if (windowMs <= 0) return history.outcome() ?: AttemptResult.NotRun(NotRunReason.LEAVING)
             val route = chooseRoute(call, history) ?: return history.outcome() ?: AttemptResult.NotRun(NotRunReason.NO_WORKER)
-            val startMs = monotonicMs()
-            val result = tryOnce(route, call, attemptId, minOf(maxWaitMs(call, history), windowMs))
             val repliedBefore = history.workerReplied
-            history.add(route.candidate.vm, result, monotonicMs() - startMs)
+            val result = attemptOn(route, request(call, attemptId, minOf(maxWaitMs(call, history), windowMs)), call, history)
             call.trace = history.trace
             if (call.replayable && shouldReroute(result, history)) {
                 history.reroutes++
@@ -94,7 +99,10 @@
 
     private fun chooseRoute(call: IncomingCall, history: AttemptHistory): Route? {
         if (call.cancellation.isCancelled) throw InterruptedException("the caller has left")
-        val routes = lookup(call.service.name).filterNot { history.wasTried(it.candidate.vm) }
+        return chooseAmong(lookup(call.service.name).filterNot { history.wasTried(it.candidate.vm) }, call)
+    }
+
+    private fun chooseAmong(routes: List<Route>, call: IncomingCall): Route? {
         if (routes.isEmpty()) return null
         val chosen: Candidate =
             synchronized(loads) {
@@ -108,21 +116,120 @@
         return routes.first { it.candidate == chosen }
     }
 
-    private fun tryOnce(route: Route, call: IncomingCall, attemptId: AttemptId, maxWaitMs: Long): AttemptResult {
+    private fun attemptOn(route: Route, request: AttemptRequest, call: IncomingCall, history: AttemptHistory): AttemptResult {
+        val delayMs = if (mayHedge(call, history)) hedging?.delayMs(call) else null
+        if (hedging != null && delayMs != null) return attemptTwice(hedging, delayMs, route, request, call, history)
+        val startMs = monotonicMs()
+        val result = tryOnce(route, request)
+        val elapsedMs = monotonicMs() - startMs
+        if (result.hasTime()) hedging?.noteResponse(call, elapsedMs)
+        history.add(route.candidate.vm, result, elapsedMs)
+        return result
+    }
+
+    // The attempt that runs and the second one must both be within the attempts of the route; a request is hedged once.
+    private fun mayHedge(call: IncomingCall, history: AttemptHistory): Boolean =
+        hedging != null && !history.wasHedged && history.count - history.reroutes + 2 <= call.maxAttempts
+
+    private fun attemptTwice(
+        hedging: Hedging,
+        delayMs: Long,
+        route: Route,
+        request: AttemptRequest,
+        call: IncomingCall,
+        history: AttemptHistory,
+    ): AttemptResult {
+        val run = HedgedRun(route, call.cancellation)
+        // The history belongs to this thread, and the second attempt is chosen on another one.
+        val excluded = history.triedVms() + route.candidate.vm
+        val pending = hedging.schedule(delayMs) { startSecond(hedging, run, call, excluded) }
+        val ended =
+            try {
+                run.run { first -> tryOnce(route, request.withCancellation(first.cancellation), first) }
+            } finally {
+                pending.cancel(false)
+            }
+        noteFirst(hedging, call, route, ended)
+        record(history, ended)
+        countEnd(hedging, route, ended)
+        return checkNotNull(ended.chosen.result)
+    }
+
+    private fun record(history: AttemptHistory, ended: HedgedResult) {
+        ended.other?.let { history.addOther(it.route.candidate.vm, it.result, it.elapsedMs) }
+        history.add(ended.chosen.route.candidate.vm, checkNotNull(ended.chosen.result), ended.chosen.elapsedMs)
+    }
+
+    private fun noteFirst(hedging: Hedging, call: IncomingCall, route: Route, ended: HedgedResult) {
+        val first = if (ended.chosen.route === route) ended.chosen else ended.other ?: return
+        when {
+            first.result == null -> hedging.noteUnfinished(call, first.elapsedMs)
+            first.result.hasTime() -> hedging.noteResponse(call, first.elapsedMs)
+        }
+    }
+
+    private fun countEnd(hedging: Hedging, route: Route, ended: HedgedResult) {
+        if (ended.other == null) return
+        if (ended.chosen.route !== route && ended.chosen.result is AttemptResult.Answered) hedging.count(HedgeEvent.WON)
+        if (ended.other.route !== route && ended.other.result == null) hedging.count(HedgeEvent.CANCELLED)
+    }
+
+    // Runs on the thread of the timer, so it must not block.
+    private fun startSecond(hedging: Hedging, run: HedgedRun, call: IncomingCall, excluded: Set<VmName>) {
+        if (!hedging.mayStart(call) || sendWindowMs(call) <= 0) return
+        val route = chooseSecond(hedging, run, call, excluded) ?: return hedging.count(HedgeEvent.REFUSED_WORKER)
+        val isPaid = hedging.trySpend(call) { withBudget(call) { it.trySpend() } }
+        if (!isPaid) hedging.count(HedgeEvent.REFUSED_BUDGET)
+        if (!isPaid || !run.claimSecond(route)) return endUnsent(route, call)
+        val request = request(call, AttemptId(randomId()), maxWaitMs = 0)
+        val started =
+            hedging.run {
+                run.runSecond { second -> tryOnce(route, request.withCancellation(second.cancellation), second, isSecond = true) }
+            }
+        if (started) return hedging.count(HedgeEvent.SENT)
+        endUnsent(route, call)
+        run.skipSecond()
+    }
+
+    private fun endUnsent(route: Route, call: IncomingCall) =
+        synchronized(loads) { loads.end(route.candidate.vm, call.kind.name, load = null, workerMs = null) }
+
+    // Only workers with room are candidates: under overload there is no second attempt.
+    private fun chooseSecond(hedging: Hedging, run: HedgedRun, call: IncomingCall, excluded: Set<VmName>): Route? {
+        val kind = call.kind.name
+        val elapsedMs = run.elapsedMs
+        val routes =
+            lookup(call.service.name).filter { route ->
+                val vm = route.candidate.vm
+                val secondMs = if (vm in excluded) null else synchronized(loads) { hedging.secondMs(vm, kind) }
+                secondMs != null && hedging.helps(call, elapsedMs, secondMs)
+            }
+        return chooseAmong(routes, call)
+    }
+
+    /** Runs [request] at the worker of [route]; [run] is set when another attempt of the request may run beside it. */
+    private fun tryOnce(route: Route, request: AttemptRequest, run: CancellableRun? = null, isSecond: Boolean = false): AttemptResult {
         val vm = route.candidate.vm
         val startMs = monotonicMs()
         var result: AttemptResult? = null
         try {
-            result = attempt(route, request(call, attemptId, maxWaitMs))
+            result = attempt(route, request)
             return result
         } finally {
+            val isReplaced = run?.isReplaced == true
+            // A second attempt that was cancelled early says nothing about the time that its worker takes.
+            val hasTime = result !is AttemptResult.NotRun && !(isReplaced && isSecond)
             synchronized(loads) {
-                loads.end(vm, call.kind.name, result?.load, if (result is AttemptResult.NotRun) null else monotonicMs() - startMs)
-                if (result == null || shouldAvoid(result)) loads.avoid(vm, AVOID_MS)
+                loads.end(vm, request.kind, result?.load, if (hasTime) monotonicMs() - startMs else null)
+                if (!isReplaced && (result == null || shouldAvoid(result))) loads.avoid(vm, AVOID_MS)
             }
         }
     }
 
+    // Whether the time of an attempt tells how long responses take.
+    private fun AttemptResult.hasTime(): Boolean =
+        this is AttemptResult.Answered || (this is AttemptResult.Unknown && reason == UnknownReason.TIMEOUT)
+
     // An attempt that reached no worker added no load, so retrying it elsewhere cannot amplify an overload.
     private fun consumesBudget(result: AttemptResult): Boolean = result !is AttemptResult.NotRun || result.reason !in unreachableReasons
 
--- a/endivestep/src/main/kotlin/org/endivestep/settings/DaemonSettings.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/settings/DaemonSettings.kt
@@ -6,6 +6,7 @@
 import org.endivestep.findings.SectionReader
 import org.endivestep.identity.DataCentreName
 import org.endivestep.identity.VmName
+import org.endivestep.retry.HedgeSettings
 
 /** Settings of one daemon, read once at startup. */
 internal data class DaemonSettings(
@@ -23,6 +24,7 @@
     val ingressThreads: Int,
     val stopTimeoutMs: Long,
     val staleAfterMs: Long,
+    val hedging: HedgeSettings = HedgeSettings(),
 )
 
 /** An operator who may sign in; [passwordHash] is `iterations:salt:hash`, see [hashPassword]. */
@@ -40,7 +42,7 @@
 
 private fun read(ini: IniText): Checked<DaemonSettings> {
     val findings = mutableListOf<Finding>()
-    val known = listOf("daemon", "store", "security", "operators")
+    val known = listOf("daemon", "store", "security", "operators", HEDGING_SECTION)
     ini.sections.filter { it !in known }.forEach { findings += ini.finding(it, null, "is not a known section") }
     val daemon = SectionReader(ini, "daemon", findings)
     val store = SectionReader(ini, "store", findings)
@@ -62,6 +64,7 @@
             ingressThreads = daemon.number("ingress-threads", 8L..10_000L, 256).toInt(),
             stopTimeoutMs = daemon.number("stop-timeout-ms", 100L..3_600_000L, 120_000),
             staleAfterMs = daemon.number("stale-after-ms", 1_000L..3_600_000L, 15_000),
+            hedging = readHedgeSettings(ini, findings),
         )
     checkPorts(settings, daemon)
     checkOperators(settings, operators)
