--- a/endivestep/src/test/kotlin/org/endivestep/ingress/DispatcherModelTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/ingress/DispatcherModelTest.kt
@@ -57,7 +57,12 @@
         Route(candidate, Peer(Address("127.0.0.1", 1 + it), DaemonIncarnation("1-$it")), isLocal = false)
     }
 
-internal fun sampleCall(idempotent: Boolean, deadlineMs: Long = monotonicMs() + 10_000): IncomingCall {
+internal fun sampleCall(
+    idempotent: Boolean,
+    deadlineMs: Long = monotonicMs() + 10_000,
+    body: RequestBody = RequestBody.Inline(ByteArray(0)),
+    maxAttempts: Int = 3,
+): IncomingCall {
     val service = sampleDocument().services.getValue(ServiceName("bestel"))
     return IncomingCall(
         id = RequestId("request"),
@@ -66,11 +71,12 @@
         method = "POST",
         path = "/orders",
         headers = emptyList(),
-        body = RequestBody.Inline(ByteArray(0)),
+        body = body,
         startMs = monotonicMs(),
         deadline = Deadline(deadlineMs),
         idempotencyKey = null,
         fingerprint = Fingerprint("print"),
+        maxAttempts = maxAttempts,
     )
 }
 
