--- a/endivestep/src/main/kotlin/org/endivestep/choice/CompletionEstimates.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/choice/CompletionEstimates.kt
@@ -3,6 +3,7 @@
 import org.endivestep.identity.KindName
 import org.endivestep.identity.VmName
 import org.endivestep.outcome.Load
+import kotlin.random.Random
 
 /**
  * Estimates when each worker would complete a request, from the load that workers' daemons report and
@@ -121,12 +122,12 @@
 
 /**
  * Returns a policy that chooses the worker with the earliest expected completion; a worker in another
- * data centre must be faster by more than the cost of its distance.
+ * data centre must be faster by more than the cost of its distance. [random] breaks ties.
  */
-internal fun earliestCompletion(locality: Locality, estimates: CompletionEstimates): ChoicePolicy =
+internal fun earliestCompletion(locality: Locality, estimates: CompletionEstimates, random: Random = Random.Default): ChoicePolicy =
     { request, candidates ->
         val kilobytes = (request.bytes + estimates.usualAnswerBytes(request.kind)) / BYTES_PER_KILOBYTE
-        candidates.shuffled().minBy { estimates.expectedMs(it.vm, request.kind) + distanceMs(locality, it, kilobytes, request.objectiveMs) }
+        candidates.shuffled(random).minBy { estimates.expectedMs(it.vm, request.kind) + distanceMs(locality, it, kilobytes, request.objectiveMs) }
     }
 
 private const val BYTES_PER_KILOBYTE = 1_024.0
