--- a/endivestep/src/main/kotlin/org/endivestep/choice/CompletionEstimates.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/choice/CompletionEstimates.kt
@@ -3,6 +3,7 @@
 import org.endivestep.identity.KindName
 import org.endivestep.identity.VmName
 import org.endivestep.outcome.Load
+import kotlin.random.Random
 
 /**
  * Estimates when each worker would complete a request, from the load that workers' daemons report and
@@ -66,6 +67,21 @@
         return avoidedMs + workMs + queueMs(load, occupied, workMs)
     }
 
+    /**
+     * Returns the time in ms that [vm] would take for a second attempt of a request of [kind], or null when it is not known to have room:
+     * by its last report, which must be recent, at most [MAX_SECOND_SHARE] of its slots are taken with the attempt. The last slots
+     * of a worker are for first attempts.
+     */
+    fun secondAttemptMs(vm: VmName, kind: KindName): Double? {
+        val entry = entries[vm] ?: return null
+        val load = entry.load ?: return null
+        val nowMs = clockMs()
+        if (nowMs - entry.reportedMs > STALE_AFTER_MS || nowMs < entry.avoidUntilMs || load.waiting > 0) return null
+        val taken = load.inFlight + (entry.ownInFlight - entry.ownInFlightAtReport).coerceAtLeast(0) + 1
+        if (taken > load.limit * MAX_SECOND_SHARE) return null
+        return completionMs(profiles.usualMs(kind) * factor(entry, nowMs), load.slownessPercent)
+    }
+
     // The reported load decays with age, so that a worker without new reports is tried again; a refusal then reports its load.
     private fun occupiedSlots(load: Load, ageMs: Long): Double =
         (load.inFlight + load.waiting) * Math.pow(0.5, ageMs.toDouble() / LOAD_HALF_LIFE_MS)
@@ -100,19 +116,39 @@
         const val FACTOR_WEIGHT = 0.15
         const val FACTOR_HALF_LIFE_MS = 2_000.0
         const val MAX_FACTOR = 20.0
+        const val MAX_SECOND_SHARE = 0.75
     }
 }
 
 /**
  * Returns a policy that chooses the worker with the earliest expected completion; a worker in another
- * data centre must be faster by more than the cost of its distance.
+ * data centre must be faster by more than the cost of its distance. [random] breaks ties.
+ *
+ * At most [maxCompared] random workers are compared, of which at most [MAX_NEAR] are in the own data centre: daemons that all compare
+ * many workers by the same reports would all choose the same one.
  */
-internal fun earliestCompletion(locality: Locality, estimates: CompletionEstimates): ChoicePolicy =
+internal fun earliestCompletion(
+    locality: Locality,
+    estimates: CompletionEstimates,
+    random: Random = Random.Default,
+    maxCompared: Int = Int.MAX_VALUE,
+): ChoicePolicy =
     { request, candidates ->
         val kilobytes = (request.bytes + estimates.usualAnswerBytes(request.kind)) / BYTES_PER_KILOBYTE
-        candidates.shuffled().minBy { estimates.expectedMs(it.vm, request.kind) + distanceMs(locality, it, kilobytes, request.objectiveMs) }
+        compared(candidates.shuffled(random), locality, maxCompared).minBy {
+            estimates.expectedMs(it.vm, request.kind) + distanceMs(locality, it, kilobytes, request.objectiveMs)
+        }
     }
 
+private fun compared(shuffled: List<Candidate>, locality: Locality, max: Int): List<Candidate> {
+    if (shuffled.size <= max) return shuffled
+    val near = shuffled.filter { it.dataCentre == locality.dataCentre }.take(MAX_NEAR)
+    return near + shuffled.asSequence().filter { it.dataCentre != locality.dataCentre }.take(max - near.size)
+}
+
+// Leaves room among those compared for workers elsewhere, so that work can leave a data centre that is full.
+private const val MAX_NEAR = 6
+
 private const val BYTES_PER_KILOBYTE = 1_024.0
 
 // Traffic between data centres is charged by the byte. The same bytes are worth more time to a request that has more time until
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -171,6 +171,7 @@
             { stopTime.sendWindowMs(it, monotonicMs()) },
             versions?.let { it::select } ?: everyRoute,
             ::sendRefusal,
+            hedging(settings.hedging, pools, metrics.registry, { !stopping }, estimates::secondAttemptMs),
             ::attempt,
         )
     private val senders = RecentSenders(::monotonicMs)
