--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -140,7 +140,8 @@
     private val applier: ConfigurationApplier =
         ConfigurationApplier(settings.dataCentre, overrides, quarantine, supervisor, admission, gossip)
     private val fetcher = ConfigurationFetcher(adoption, control::fetchConfiguration, adoption::offerAndLog)
-    private val storeDuties: StoreDuties = StoreDuties(store, gossip, random, adoption, overrides, ::synchronizeWith) { rollouts?.refresh() }
+    private val storeDuties: StoreDuties =
+        StoreDuties(store, gossip, random, adoption, overrides, ::synchronizeWith) { rollouts?.refresh() }
     private val heartbeatReceiver = HeartbeatReceiver(settings.service, settings.worker, workers, supervisor)
     private val retryDelays = RetryDelays(profiles, random)
     private val estimates = CompletionEstimates(profiles, ::monotonicMs)
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/RolloutDuties.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/RolloutDuties.kt
@@ -2,11 +2,11 @@
 
 import org.endivestep.concurrent.BackgroundLoop
 import org.endivestep.concurrent.MpscQueue
+import org.endivestep.egress.Announcement
 import org.endivestep.egress.WorkerRegistry
 import org.endivestep.exchange.monotonicMs
 import org.endivestep.identity.ServiceName
 import org.endivestep.identity.WorkerVersion
-import org.endivestep.egress.Announcement
 import org.endivestep.membership.Gossip
 import org.endivestep.membership.MemberInfo
 import org.endivestep.metrics.DaemonMetrics
@@ -69,7 +69,10 @@
         metrics.gauge("endivestep.rollouts.running", "Roll-outs that are running") {
             table.services.values.count { it.rollout?.entry?.isFinal == false }
         }
-        metrics.gauge("endivestep.rollout.share.percent", "Share of the target version in the roll-out of the local service; -1 without one") {
+        metrics.gauge(
+            "endivestep.rollout.share.percent",
+            "Share of the target version in the roll-out of the local service; -1 without one",
+        ) {
             table.rollout(local.name)?.entry?.sharePercent ?: -1
         }
     }
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/RolloutFollower.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/RolloutFollower.kt
@@ -54,7 +54,14 @@
     fun write(entry: RolloutEntry, status: RolloutStatus): StatusWrite {
         val service = entry.order.service
         val name = objectNames[service] ?: service.text
-        return when (val result = store.writeStatus(collection, name, writeRolloutStatus(status, table.orderedAtMs(service)), entry.revision)) {
+        return when (
+            val result = store.writeStatus(
+                collection,
+                name,
+                writeRolloutStatus(status, table.orderedAtMs(service)),
+                entry.revision,
+            )
+        ) {
             is WriteResult.Written -> {
                 val revision = result.version.text.toLongOrNull()
                 if (revision != null) accept(entry.copy(status = status, revision = entry.revision.copy(number = revision)))
@@ -86,8 +93,9 @@
     private fun accept(entry: RolloutEntry) {
         if (!table.update(entry, fromStore = true)) return
         logger.info {
-            "roll-out of ${entry.order.service.text} to ${entry.order.target.text}: ${entry.status?.state?.name?.lowercase() ?: "ordered"}, " +
-                "share ${entry.sharePercent}% at revision ${entry.revision}"
+            val state = entry.status?.state?.name?.lowercase() ?: "ordered"
+            "roll-out of ${entry.order.service.text} to ${entry.order.target.text}: $state, share ${entry.sharePercent}% at " +
+                "revision ${entry.revision}"
         }
         onChange()
     }
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/RolloutCodec.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/RolloutCodec.kt
@@ -37,7 +37,9 @@
     if (routesList.any { !it.isPossible() }) return null
     val version = workerVersion.takeIf { it.isNotEmpty() }?.let(::WorkerVersion)
     val source = EvidenceSource(VmName(vm), DaemonIncarnation(daemonIncarnation), version)
-    val routes = routesList.associate { KindName(it.route) to RouteCounts(it.answered, it.failed, it.timed, it.logMsSum, it.logMsSquareSum) }
+    val routes = routesList.associate {
+        KindName(it.route) to RouteCounts(it.answered, it.failed, it.timed, it.logMsSum, it.logMsSquareSum)
+    }
     return WorkerEvidence(source, sequence, inFlight, routes)
 }
 
--- a/endivestep/src/main/kotlin/org/endivestep/rollout/Evidence.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/rollout/Evidence.kt
@@ -46,11 +46,6 @@
  *
  * [inFlight] is 0 only when the worker has no request and its daemon refuses new ones.
  */
-internal class WorkerEvidence(
-    val source: EvidenceSource,
-    val sequence: Long,
-    val inFlight: Int,
-    val routes: Map<KindName, RouteCounts>,
-) {
+internal class WorkerEvidence(val source: EvidenceSource, val sequence: Long, val inFlight: Int, val routes: Map<KindName, RouteCounts>) {
     val total: Long get() = routes.values.sumOf { it.total }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/rollout/RolloutDecider.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/rollout/RolloutDecider.kt
@@ -28,20 +28,23 @@
     private val plan = RolloutPlan(bounds, order)
     private var stage: RolloutStatus? = null
     private var stageSinceMs = firstSeenMs
-    private var wanted: RolloutStatus? = null
+    private var wanted: StepKind? = null
     private var wantedSinceMs = 0L
 
+    // Kept, because the notices of a decider that found a fault end the requests that would confirm it.
+    private var fault: String? = null
+
     /** Whether the evidence showed that the target version is faulty. */
-    var isFaulty = false
-        private set
+    val isFaulty: Boolean get() = fault != null
 
     /** Returns the next status to write, or null to leave the status as it is. Called several times a second. */
     fun decide(input: DeciderInput): RolloutStep? {
         input.evidence.keepHistory(input.nowMs)
         noteStage(input)
         val step = nextStep(input)
-        if (step?.status != wanted) {
-            wanted = step?.status
+        val kind = step?.let { StepKind(it.status.state, plan.stageOf(it.status.sharePercent)) }
+        if (kind != wanted) {
+            wanted = kind
             wantedSinceMs = input.nowMs
         }
         return step?.takeIf { input.nowMs - wantedSinceMs >= input.rank * TAKEOVER_DELAY_MS }
@@ -57,10 +60,8 @@
         val status = input.status ?: return running(0, "the order was seen")
         if (status.state != RolloutState.RUNNING) return null
         val verdict = judge(input.evidence, plan.loadRatio(status.sharePercent, input.fleet))
-        if (verdict.isBad) {
-            isFaulty = true
-            return reverted("${verdict.text}; ${figures(input)}")
-        }
+        if (verdict.isBad) fault = fault ?: verdict.text
+        fault?.let { return reverted("$it; ${figures(input)}") }
         val facts = StageFacts(input.nowMs - firstSeenMs, input.nowMs - stageSinceMs, input.evidence, input.fleet, verdict)
         return when (val move = plan.next(status.sharePercent, facts)) {
             PlannedMove.Stay -> null
@@ -80,6 +81,9 @@
         "${input.nowMs - firstSeenMs} of ${order.durationMs} ms, target version ${input.evidence.targetTotal} of ${input.evidence.total} " +
             "responses, ${input.evidence.targetFailed} failed, ${input.fleet.target.size} new and ${input.fleet.old.size} old workers"
 
+    // The exact share depends on the latest figures, and is no reason to wait anew.
+    private data class StepKind(val state: RolloutState, val stage: RolloutStage)
+
     private companion object {
         // Longer than a write to the store and its notice to the other deciders usually take.
         const val TAKEOVER_DELAY_MS = 700L
--- a/endivestep/src/main/kotlin/org/endivestep/rollout/RolloutPlan.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/rollout/RolloutPlan.kt
@@ -4,6 +4,9 @@
 import kotlin.math.max
 import kotlin.math.min
 
+/** Stage of a roll-out, by the share of the target version. */
+internal enum class RolloutStage { ORDERED, CANARY, LOAD, FULL }
+
 /** What is known in one stage: times in ms since the order was seen and since the stage began. */
 internal class StageFacts(
     val elapsedMs: Long,
@@ -31,13 +34,25 @@
 internal class RolloutPlan(private val bounds: RollOutBounds, private val order: RolloutOrder) {
     private val durationMs = order.durationMs
 
-    fun next(sharePercent: Int, facts: StageFacts): PlannedMove =
+    fun next(sharePercent: Int, facts: StageFacts): PlannedMove {
+        val stage = stageOf(sharePercent)
+        if (stage != RolloutStage.FULL && isOver(facts) && !hasAnyResponse(facts)) {
+            return PlannedMove.Revert("the target version was not tried before the deadline")
+        }
+        return when (stage) {
+            RolloutStage.ORDERED -> toCanary(facts)
+            RolloutStage.CANARY -> toLoad(facts)
+            RolloutStage.LOAD -> toFull(facts)
+            RolloutStage.FULL -> afterFull(facts)
+        }
+    }
+
+    fun stageOf(sharePercent: Int): RolloutStage =
         when {
-            sharePercent >= FULL_SHARE_PERCENT -> afterFull(facts)
-            isOver(facts) && !wasTried(facts) -> PlannedMove.Revert("the target version was not tried before the deadline")
-            sharePercent == 0 -> toCanary(facts)
-            sharePercent < MIN_LOAD_SHARE_PERCENT -> toLoad(facts)
-            else -> toFull(facts)
+            sharePercent >= FULL_SHARE_PERCENT -> RolloutStage.FULL
+            sharePercent >= MIN_LOAD_SHARE_PERCENT -> RolloutStage.LOAD
+            sharePercent > 0 -> RolloutStage.CANARY
+            else -> RolloutStage.ORDERED
         }
 
     /** Load of a worker of the target version relative to that of an old one before the roll-out. */
@@ -102,10 +117,20 @@
         val idle = facts.fleet.old.all(facts.evidence::isIdle)
         val planned = isPast(COMPLETE_START, facts) && facts.stageAgeMs >= MIN_FULL_MS && !facts.verdict.isSuspicious
         return when {
-            facts.fleet.target.isEmpty() -> if (isOver(facts)) PlannedMove.Revert("no worker of the target version is left") else PlannedMove.Stay
+            facts.fleet.target.isEmpty() -> if (isOver(
+                    facts,
+                )
+            ) {
+                PlannedMove.Revert("no worker of the target version is left")
+            } else {
+                PlannedMove.Stay
+            }
             planned && idle && hasEnough(facts) -> PlannedMove.Complete("the old workers have nothing in flight")
             isOver(facts) && facts.verdict.isLikelyBad -> likelyBad(facts)
-            isOver(facts) && facts.stageAgeMs >= MIN_FORCED_STAGE_MS -> PlannedMove.Complete("the deadline is near and nothing bad was seen")
+            isOver(
+                facts,
+            ) &&
+                facts.stageAgeMs >= MIN_FORCED_STAGE_MS -> PlannedMove.Complete("the deadline is near and nothing bad was seen")
             else -> PlannedMove.Stay
         }
     }
@@ -114,8 +139,6 @@
 
     private fun isOver(facts: StageFacts) = facts.elapsedMs >= durationMs - COMPLETE_MARGIN_MS
 
-    private fun wasTried(facts: StageFacts) = hasAnyResponse(facts)
-
     private fun hasAnyResponse(facts: StageFacts) =
         facts.evidence.targetTotal > 0 || facts.evidence.total == 0L && facts.fleet.target.isNotEmpty()
 
@@ -166,6 +189,7 @@
         const val MIN_CANARY_MS = 1_000L
         const val MIN_FULL_MS = 1_000L
         const val MIN_FORCED_STAGE_MS = 400L
+
         // Includes the time after which a decider of lower rank writes in place of the first.
         const val COMPLETE_MARGIN_MS = 1_400L
 
--- a/endivestep/src/main/kotlin/org/endivestep/rollout/VersionChoice.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/rollout/VersionChoice.kt
@@ -23,7 +23,13 @@
      * [keyOf] its name, [refused] are the
      * versions that daemons refused for earlier attempts of the same request, because they know a later step than this daemon.
      */
-    fun <T> select(service: ServiceName, workers: List<T>, refused: Set<WorkerVersion?>, versionOf: (T) -> WorkerVersion?, keyOf: (T) -> String): List<T> {
+    fun <T> select(
+        service: ServiceName,
+        workers: List<T>,
+        refused: Set<WorkerVersion?>,
+        versionOf: (T) -> WorkerVersion?,
+        keyOf: (T) -> String,
+    ): List<T> {
         val rules = table.rules(service) ?: return withoutRefused(workers, refused, versionOf)
         val entry = rules.rollout?.entry
         val target = if (entry == null) emptyList() else workers.filter { versionOf(it) == entry.order.target }
--- a/endivestep/src/main/kotlin/org/endivestep/rollout/VersionComparison.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/rollout/VersionComparison.kt
@@ -73,8 +73,8 @@
     val supported = rest == null || rest.timed > 0 && rest.meanLogMs - old.meanLogMs >= threshold
     return when {
         excess >= DECIDING_STANDARD_ERRORS * error && supported -> Comparison.SLOW
-        excess >= LIKELY_STANDARD_ERRORS * error && supported -> Comparison.LIKELY_BAD
-        excess >= error -> Comparison.SUSPICIOUS
+        excess >= 0 && supported -> Comparison.LIKELY_BAD
+        excess >= 0 -> Comparison.SUSPICIOUS
         else -> Comparison.NOTHING_BAD
     }
 }
@@ -106,6 +106,5 @@
 private const val MIN_TIMED = 8L
 private const val MIN_LOG_VARIANCE = 0.05
 
-// The test is repeated several times a second, so a verdict needs more than the usual two or three standard errors.
-private const val DECIDING_STANDARD_ERRORS = 4.0
-private const val LIKELY_STANDARD_ERRORS = 2.5
+// They count from the threshold, which already lies several standard errors above an equally fast version.
+private const val DECIDING_STANDARD_ERRORS = 2.5
--- a/endivestep/src/test/kotlin/org/endivestep/fakes/EgressFixture.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/fakes/EgressFixture.kt
@@ -7,10 +7,12 @@
 import org.endivestep.egress.CrashDetector
 import org.endivestep.egress.Egress
 import org.endivestep.egress.InFlightRequests
+import org.endivestep.egress.RunObserver
 import org.endivestep.egress.WorkerAnswerInterpreter
 import org.endivestep.egress.WorkerCall
 import org.endivestep.egress.WorkerRegistry
 import org.endivestep.egress.WorkerResult
+import org.endivestep.egress.noObserver
 import org.endivestep.egress.serviceAnswerInterpreter
 import org.endivestep.exchange.AttemptRequest
 import org.endivestep.exchange.Deadline
@@ -27,6 +29,8 @@
 import org.endivestep.outcome.HeaderField
 import org.endivestep.outcome.OutcomeHeaders
 import org.endivestep.quarantine.Quarantine
+import org.endivestep.rollout.VersionPermission
+import org.endivestep.rollout.everyVersionPermitted
 import org.endivestep.settings.Address
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
@@ -40,6 +44,8 @@
     private val address: Address = Address("127.0.0.1", 1),
     answerInterpreter: WorkerAnswerInterpreter = serviceAnswerInterpreter,
     private val clockNanos: () -> Long = System::nanoTime,
+    permitsVersion: VersionPermission = everyVersionPermitted,
+    observer: RunObserver = noObserver,
     private val worker: WorkerCall,
 ) {
     val runs = AtomicInteger()
@@ -64,6 +70,8 @@
             crashes,
             answerInterpreter,
             clockNanos = clockNanos,
+            permitsVersion = permitsVersion,
+            observer = observer,
         ) { local, request ->
             val result = worker(local, request)
             if (ran(result)) runs.incrementAndGet()
