--- a/endivestep/src/main/kotlin/org/endivestep/quota/QuotaOwner.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/quota/QuotaOwner.kt
@@ -7,15 +7,15 @@
 /** Why a daemon grants no tokens of the teams that it owns. */
 internal enum class GrantState(val text: String) {
     GRANTING("granting"),
-    STARTING("it has started, or was paused"),
+    STARTING("it waits, as it has heard from most daemons for less than 3 s"),
     NO_MAJORITY("it has not heard from most daemons"),
 }
 
 /**
  * Grants tokens of the teams that this daemon owns, each with its share of the team's rate and burst.
  *
- * The daemon grants only while it has heard from more than half of the known members within [HEARD_MS], and only tokens of teams that
- * it has owned for [OWNER_MS]. Peers replace an owner that they don't hear later than it stops: gossip takes 5 s to declare a member
+ * The daemon grants only while it has heard from more than half of the known members within [HEARD_MS], for as long without a break, and
+ * only tokens of teams that it has owned for [OWNER_MS] then: an owner that the same members have just left may grant for [HEARD_MS]. Peers replace an owner that they don't hear later than it stops: gossip takes 5 s to declare a member
  * dead. When the majority or the ownership is lost, or this daemon was paused, the buckets begin anew, empty.
  *
  * A pure state machine. Times are in ms of a clock that also counts suspensions. Not thread-safe.
@@ -33,7 +33,7 @@
     private var seenView: QuotaView? = null
     private var updatedMs = NEVER
     private var ignoreUntilMs = 0L
-    private var startsMs = 0L
+    private var majoritySinceMs = NEVER
 
     /** What decides whether tokens are granted, as of the last [update]. */
     var state = GrantState.STARTING
@@ -56,6 +56,8 @@
         heardMs.keys.retainAll(known)
         sequences.keys.retainAll(known)
         heardCount = known.count { it == self || nowMs - (heardMs[it] ?: NEVER) <= HEARD_MS }
+        val hasMajority = heardCount * 2 > known.size
+        if (!hasMajority) majoritySinceMs = NEVER else if (majoritySinceMs == NEVER) majoritySinceMs = nowMs
         state = currentState(nowMs)
         if (state == GrantState.GRANTING) own(view, nowMs) else teams.clear()
     }
@@ -88,7 +90,7 @@
 
     // Datagrams that arrived during a pause are still queued; they do not show that their senders reach this daemon now.
     private fun restart(nowMs: Long) {
-        startsMs = nowMs + if (updatedMs == NEVER) FIRST_START_MS else 0
+        majoritySinceMs = NEVER
         ignoreUntilMs = if (updatedMs == NEVER) nowMs else nowMs + QUEUED_MS
         heardMs.clear()
         teams.clear()
@@ -96,8 +98,8 @@
 
     private fun currentState(nowMs: Long): GrantState =
         when {
-            nowMs < startsMs -> GrantState.STARTING
-            heardCount * 2 <= known.size -> GrantState.NO_MAJORITY
+            majoritySinceMs == NEVER -> GrantState.NO_MAJORITY
+            nowMs - majoritySinceMs < HEARD_MS -> GrantState.STARTING
             else -> GrantState.GRANTING
         }
 
@@ -124,8 +126,6 @@
         /** A longer time without [update] counts as a pause of the process. */
         const val MAX_GAP_MS = 1_000L
 
-        // A daemon that has just started knows few members at first.
-        private const val FIRST_START_MS = 2_000L
         private const val UPDATE_MS = 100L
         private const val QUEUED_MS = 300L
         private const val MAX_DEMANDS = 1_000
