--- a/endivestep/src/main/kotlin/org/endivestep/metrics/AdmissionMetrics.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/metrics/AdmissionMetrics.kt
@@ -18,13 +18,7 @@
 private val logger = KotlinLogging.logger {}
 
 /** Admission decision on one request at a worker's queue, after [waitedMs]; [refusal] is null for an admitted one. */
-internal class AdmissionRecord(
-    val kind: KindName,
-    val rank: RequestRank,
-    val waitedMs: Long,
-    val refusal: NotRunReason?,
-    val load: Load,
-)
+internal class AdmissionRecord(val kind: KindName, val rank: RequestRank, val waitedMs: Long, val refusal: NotRunReason?, val load: Load)
 
 /**
  * Time in the queue of the local worker and its refusals, by reason and kind and by team. Logs when the queue starts and stops refusing.
--- a/endivestep/src/test/kotlin/org/endivestep/admission/PrioritySharesTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/admission/PrioritySharesTest.kt
@@ -50,7 +50,10 @@
                 Case("the lower priority, of a team that is ahead", 1, true, 0.25),
                 Case("the lowest priority", 2, false, 0.25),
             ).forEach { case ->
-                withClue(case.name) { shares.remainingShare(case.priority, case.hasLead, 4, nowMs = 25_000) shouldBe (case.remaining plusOrMinus 0.06) }
+                withClue(case.name) {
+                    shares.remainingShare(case.priority, case.hasLead, 4, nowMs = 25_000) shouldBe
+                        (case.remaining plusOrMinus 0.06)
+                }
             }
             shares.remainingShare(2, hasLead = false, slots = 1, nowMs = 25_000) shouldBe 0.1
             shares.remainingShare(2, hasLead = false, slots = 4, nowMs = 40_000) shouldBe (1.0 plusOrMinus 0.01)
--- a/endivestep/src/test/kotlin/org/endivestep/metrics/AdmissionMetricsTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/metrics/AdmissionMetricsTest.kt
@@ -16,7 +16,9 @@
             val admission = AdmissionMetrics(metrics.registry) { 0 }
             repeat(75) { team ->
                 listOf(NotRunReason.OVERLOADED, null).forEach { refusal ->
-                    admission.record(AdmissionRecord(KindName("order"), RequestRank(team = TeamName("team-$team")), 30, refusal, Load(4, 4)))
+                    admission.record(
+                        AdmissionRecord(KindName("order"), RequestRank(team = TeamName("team-$team")), 30, refusal, Load(4, 4)),
+                    )
                 }
             }
             val lines = metrics.scrape().lines()
