--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -155,11 +155,9 @@
     private val applier: ConfigurationApplier =
         ConfigurationApplier(settings.dataCentre, overrides, quarantine, supervisor, admission, gossip)
     private val fetcher = ConfigurationFetcher(adoption, control::fetchConfiguration, adoption::offerAndLog)
-    private val storeDuties: StoreDuties = StoreDuties(store, gossip, random, adoption, overrides, ::synchronizeWith) { rollouts?.refresh() }
-    private val heartbeatReceiver = HeartbeatReceiver(settings.service, settings.worker, workers, supervisor::announce)
     private val storeDuties: StoreDuties =
         StoreDuties(store, gossip, random, adoption, overrides, ::synchronizeWith) { rollouts?.refresh() }
-    private val heartbeatReceiver = HeartbeatReceiver(settings.service, settings.worker, workers, supervisor)
+    private val heartbeatReceiver = HeartbeatReceiver(settings.service, settings.worker, workers, supervisor::announce)
     private val retryDelays = RetryDelays(profiles, random)
     private val estimates = CompletionEstimates(profiles, ::monotonicMs)
     private val locality = Locality(settings.dataCentre, settings.dataCentres[settings.dataCentre].orEmpty())
