--- a/endivestep/src/main/kotlin/org/endivestep/rollout/RolloutPlan.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/rollout/RolloutPlan.kt
@@ -66,7 +66,7 @@
 
     // Where few requests arrive, the bound allows a larger share, and a small one would give no evidence.
     private fun canaryShare(facts: StageFacts): Int {
-        val expected = ratePerMs(facts) * durationMs * (CANARY_END - START)
+        val expected = ratePerMs(facts) * durationMs * (CANARY_LIMIT - START)
         if (expected <= 0) return MAX_CANARY_PERCENT
         val allowed = (CANARY_BOUND_SHARE * exposureBound(facts) / expected * FULL_SHARE_PERCENT).toInt()
         val startable = (facts.fleet.target.size * COLD_PER_SECOND / MS_PER_SECOND / ratePerMs(facts) * FULL_SHARE_PERCENT).toInt()
