--- a/endivestep/src/main/kotlin/org/endivestep/admission/AdmissionQueue.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/admission/AdmissionQueue.kt
@@ -126,9 +126,8 @@
             val longestMs = minOf(request.maxWaitMs, settings.queueWaitMs)
             waiter.recordExpectedWait(expectedWaitMs(waiter, nowMs), nowMs)
             waiter.waitsUntilMs = nowMs + longestMs
-            if (longestMs <= 0 || waiting.refuses(waiter, nowMs) || expectedWaitMs(waiter, nowMs) > longestMs || !makeRoom(waiter, nowMs)) {
-                return Admission.Refused(NotRunReason.OVERLOADED)
-            }
+            val beginsInTime = longestMs > 0 && !waiting.refuses(waiter, nowMs) && expectedWaitMs(waiter, nowMs) <= longestMs
+            if (!beginsInTime || !makeRoom(waiter, nowMs)) return Admission.Refused(NotRunReason.OVERLOADED)
             return await(waiter)
         }
     }
--- a/endivestep/src/main/kotlin/org/endivestep/admission/WaitingQueue.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/admission/WaitingQueue.kt
@@ -11,7 +11,10 @@
     /** Time after which the request is late if its processing has not begun. */
     val lateAfterMs: Long get() = (rank.objectiveAtMs - workMs * WORK_TIME_MARGIN).toLong()
 
-    /** Time until which the request may wait; after that it cannot be answered before its deadline, or another worker is a better choice. */
+    /**
+     * Time until which the request may wait; after that it cannot be answered before its deadline, or another worker is a better
+     * choice.
+     */
     var waitsUntilMs = Long.MAX_VALUE
 
     /** Work in ms by which its team is ahead of an idle one when this request begins, see [FairShares]; 0 without a team. */
--- a/endivestep/src/test/kotlin/org/endivestep/admission/TeamsInQueueTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/admission/TeamsInQueueTest.kt
@@ -67,9 +67,8 @@
     private val running = queue.admit(AdmissionRequest(0)) as Admission.Admitted
     private var waiting = 0
 
-    fun wait(team: TeamName?, maxWaitMs: Long = 60_000, workMs: Double = 100.0, objectiveAtMs: Long = 50_000): CompletableFuture<Admission> {
-        val rank = RequestRank(priority = 1, objectiveAtMs = objectiveAtMs, team = team)
-        val admission = CompletableFuture.supplyAsync({ queue.admit(AdmissionRequest(maxWaitMs, rank = rank, workMs = workMs)) }, threads)
+    fun wait(team: TeamName?, maxWaitMs: Long = 60_000, objectiveAtMs: Long = 50_000): CompletableFuture<Admission> {
+        val admission = offer(team, maxWaitMs, objectiveAtMs)
         waiting++
         queue.awaitWaiting(waiting)
         return admission
