Close the failed response of an attempt that was cancelled

The wire test now lets the silent worker receive its request before the other one answers: cancelled earlier, its connection is rightly kept, which failed the test on a busy machine.

--- a/endivestep/src/main/kotlin/org/endivestep/ingress/HedgedRun.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/HedgedRun.kt
@@ -70,7 +70,7 @@
     fun runSecond(attempt: (CancellableRun) -> AttemptResult) {
         val result =
             try {
-                second.run(attempt).takeUnless { second.isReplaced && !it.isResponse() }
+                second.run(attempt).unlessReplaced(second)
             } catch (e: InterruptedException) {
                 logger.trace { "the second attempt was cancelled: $e" }
                 null
@@ -91,7 +91,7 @@
     // Returns null when the second attempt responded first.
     private fun runFirst(attempt: (CancellableRun) -> AttemptResult): AttemptResult? =
         try {
-            first.run(attempt).takeUnless { first.isReplaced && !it.isResponse() }
+            first.run(attempt).unlessReplaced(first)
         } catch (e: InterruptedException) {
             if (!first.isReplaced) throw e
             null
@@ -146,6 +146,13 @@
     if (this is AttemptResult.Answered) body.close()
 }
 
+// The failure of an attempt that was cancelled follows from its cancellation.
+private fun AttemptResult.unlessReplaced(run: CancellableRun): AttemptResult? {
+    if (!run.isReplaced || isResponse()) return this
+    close()
+    return null
+}
+
 private fun AttemptResult?.isResponse(): Boolean = this is AttemptResult.Answered && head.status < FIRST_SERVER_ERROR
 
 // A response counts before a failure. "Not run" counts last: it may be reported only when it holds for both attempts.
--- a/endivestep/src/test/kotlin/org/endivestep/protocol/HedgedWireTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/protocol/HedgedWireTest.kt
@@ -87,12 +87,12 @@
 private fun leaveTimeMs(silentFirst: Boolean, silentIsLocal: Boolean): Long {
     val loops = NioEventLoopGroup(1)
     val silent = Silent()
-    val answersWhen = if (silentFirst) CountDownLatch(0) else silent.began
     val silentWorker = RemoteWorker(loops) { silent.serve(this) }
     val answering =
         RemoteWorker(loops) {
             val id = readRequest()
-            answersWhen.await()
+            // An attempt that is cancelled before it is sent leaves its connection open for others.
+            silent.began.await()
             send(answerText(id, "whole"))
             awaitClose()
         }
