--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -79,10 +79,10 @@
 import org.endivestep.protocol.toInfo
 import org.endivestep.quarantine.Quarantine
 import org.endivestep.quarantine.suspicionLog
-import org.endivestep.rollout.everyVersionPermitted
 import org.endivestep.quota.QuotaMetrics
 import org.endivestep.quota.QuotaService
 import org.endivestep.quota.QuotaTolerance
+import org.endivestep.rollout.everyVersionPermitted
 import org.endivestep.settings.Address
 import org.endivestep.store.CurrentStoreEra
 import org.endivestep.store.StoreEra
--- a/endivestep/src/main/kotlin/org/endivestep/egress/FirstHeartbeats.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/FirstHeartbeats.kt
@@ -16,7 +16,10 @@
      */
     fun confirm(heartbeat: WorkerHeartbeat): WorkerHeartbeat? {
         val before = unconfirmed
-        if (heartbeat.isHealthAnswer) return before?.takeIf { it.incarnation == heartbeat.incarnation }?.copy(coldMs = heartbeat.coldMs) ?: heartbeat
+        if (heartbeat.isHealthAnswer) {
+            return before?.takeIf { it.incarnation == heartbeat.incarnation }?.copy(coldMs = heartbeat.coldMs)
+                ?: heartbeat
+        }
         unconfirmed = heartbeat
         return heartbeat.takeIf { it.leaving || before?.isOfSameRun(it) == true }
     }
--- a/endivestep/src/main/kotlin/org/endivestep/quota/QuotaOwner.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/quota/QuotaOwner.kt
@@ -57,7 +57,11 @@
         sequences.keys.retainAll(known)
         heardCount = known.count { it == self || nowMs - (heardMs[it] ?: NEVER) <= HEARD_MS }
         val hasMajority = heardCount * 2 > known.size
-        if (!hasMajority) majoritySinceMs = NEVER else if (majoritySinceMs == NEVER) majoritySinceMs = nowMs
+        if (!hasMajority) {
+            majoritySinceMs = NEVER
+        } else if (majoritySinceMs == NEVER) {
+            majoritySinceMs = nowMs
+        }
         state = currentState(nowMs)
         if (state == GrantState.GRANTING) own(view, nowMs) else teams.clear()
     }
--- a/endivestep/src/test/kotlin/org/endivestep/daemon/HeartbeatReceiverTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/daemon/HeartbeatReceiverTest.kt
@@ -27,10 +27,15 @@
                 Case("a heartbeat, then a health answer", listOf(heartbeat(30), healthAnswer()), listOf(false, true)),
                 Case("two heartbeats", listOf(heartbeat(30), heartbeat(31)), listOf(false, true)),
                 Case("the same heartbeat twice", listOf(heartbeat(30), heartbeat(30)), listOf(false, false)),
-                Case("a late heartbeat, then a health answer of another worker", listOf(heartbeat(30), healthAnswer("b")), listOf(false, true)),
+                Case(
+                    "a late heartbeat, then a health answer of another worker",
+                    listOf(heartbeat(30), healthAnswer("b")),
+                    listOf(false, true),
+                ),
             ).forEach { case ->
                 val workers = WorkerRegistry()
-                val receiver = HeartbeatReceiver(service, Address("127.0.0.1", 1), workers) { announcement, _ -> workers.announce(announcement) }
+                val receiver =
+                    HeartbeatReceiver(service, Address("127.0.0.1", 1), workers) { announcement, _ -> workers.announce(announcement) }
                 withClue(case.name) {
                     case.received.map {
                         receiver.receive(it)
