--- a/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
@@ -84,21 +84,24 @@
             val result = attemptOn(route, request(call, attemptId, minOf(maxWaitMs(call, history), windowMs)), call, history)
             if (result.isRefusedVersion()) history.noteRefusedVersion(route.version)
             call.trace = history.trace
-            if (call.replayable && shouldReroute(result, history)) {
-                history.reroutes++
-                attemptId = AttemptId(randomId())
-                continue
-            }
-            if (history.workerReplied && !repliedBefore) withBudget(call) { it.noteReplied() }
-            if (nextStep(result, facts(call, history)) == NextStep.FINISH) return checkNotNull(history.outcome())
-            if (consumesBudget(result) && !withBudget(call) { it.trySpend() }) {
-                history.noteBudgetExhausted()
-                return checkNotNull(history.outcome())
-            }
+            if (!continues(result, call, history, repliedBefore)) return checkNotNull(history.outcome())
             attemptId = AttemptId(randomId())
         }
     }
 
+    /** Whether another attempt follows the one that ended with [result]; if so, the retry budget has paid for it where it must. */
+    private fun continues(result: AttemptResult, call: IncomingCall, history: AttemptHistory, repliedBefore: Boolean): Boolean {
+        if (call.replayable && shouldReroute(result, history)) {
+            history.reroutes++
+            return true
+        }
+        if (history.workerReplied && !repliedBefore) withBudget(call) { it.noteReplied() }
+        if (nextStep(result, facts(call, history)) == NextStep.FINISH) return false
+        if (!consumesBudget(result) || withBudget(call) { it.trySpend() }) return true
+        history.noteBudgetExhausted()
+        return false
+    }
+
     private fun refusal(call: IncomingCall, windowMs: Long): NotRunReason? =
         if (windowMs <= 0) NotRunReason.LEAVING else sendRefusal(call)
 
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/Hedging.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/Hedging.kt
@@ -44,7 +44,8 @@
 
     /** Returns the time in ms after which a second attempt of [call] may be sent, or null when none may. */
     fun delayMs(call: IncomingCall): Long? {
-        if (!call.kind.idempotent || call.kind.semantics.hasLargeAnswer || call.body !is RequestBody.Inline || !isAllowed()) return null
+        val mayRunTwice = call.kind.idempotent && call.body is RequestBody.Inline
+        if (!mayRunTwice || call.kind.semantics.hasLargeAnswer || !isAllowed()) return null
         val delayMs = synchronized(policy) { policy.delayMs(call.service.name, call.kind.name) } ?: return null
         return delayMs.takeIf { it < call.deadline.remainingMs(monotonicMs()) }
     }
--- a/endivestep/src/main/kotlin/org/endivestep/quota/QuotaService.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/quota/QuotaService.kt
@@ -75,7 +75,8 @@
     /** Starts the exchange of tokens when the configuration limits a team, or [always]. */
     @Synchronized
     fun startIfNeeded(always: Boolean = false) {
-        if (stopped || loops.isNotEmpty() || !(always || quotas(document()).isNotEmpty())) return
+        val isNeeded = always || quotas(document()).isNotEmpty()
+        if (stopped || loops.isNotEmpty() || !isNeeded) return
         socket =
             try {
                 DatagramSocket(inner.port + PORT_OFFSET, InetAddress.getByName(inner.host))
@@ -166,7 +167,8 @@
         val quotas = quotas(currentDocument)
         val isConfigured = currentDocument != null
         // Most changes of members concern only their workers.
-        if (knownVms == view.known && liveVms == view.live && quotas == view.quotas && isConfigured == view.isConfigured) return
+        val haveSameMembers = knownVms == view.known && liveVms == view.live
+        if (haveSameMembers && quotas == view.quotas && isConfigured == view.isConfigured) return
         view = QuotaView(self().vm, knownVms, liveVms, quotas, isConfigured)
         synchronized(tokens) { tokens.update(view, clock.nowMs()) }
     }
--- a/endivestep/src/main/kotlin/org/endivestep/quota/QuotaTokens.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/quota/QuotaTokens.kt
@@ -313,7 +313,7 @@
         private const val MAX_EMPTY_MS = 2_000L
         private const val MAX_WANTED = 256
 
-        // An owner grants a team's tokens QuotaOwner.OWNER_MS after it has read the limit, and may read it up to 2.5 s later than this daemon.
+        // An owner grants a team's tokens QuotaOwner.OWNER_MS after it has read the limit, which it may do later than this daemon.
         private const val NEW_LIMIT_GRACE_MS = 2_500L
         private const val IDLE_MS = 10_000L
         private const val MAX_IDLE_MS = 1_000L
--- a/endivestep/src/main/kotlin/org/endivestep/rollout/EvidenceTable.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/rollout/EvidenceTable.kt
@@ -67,7 +67,10 @@
     }
 
     /** Counters of all workers of other versions on all routes. */
-    fun oldTotal(): RouteCounts = latest.values.filter { it.source.version != target }.fold(RouteCounts()) { sum, it -> sum + it.sum() }
+    fun oldTotal(): RouteCounts = latest.values.filter { it.source.version != target }.fold(RouteCounts()) { sum, evidence ->
+        sum +
+            evidence.sum()
+    }
 
     /** Counters of each worker of the target version on all routes. */
     fun targetTotals(): List<RouteCounts> = latest.values.filter { it.source.version == target }.map { it.sum() }.filter { it.total > 0 }
--- a/endivestep/src/main/kotlin/org/endivestep/rollout/RolloutDecider.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/rollout/RolloutDecider.kt
@@ -96,25 +96,29 @@
 private fun judge(evidence: EvidenceTable, loadRatio: Double): Verdict {
     val totals = evidence.targetTotals()
     val together = failureComparison(totals, evidence.oldTotal())
-    if (together == Comparison.FAILING) return bad("all routes", together, totals, evidence.oldTotal())
+    if (together == VersionComparison.FAILING) return bad("all routes", together, totals, evidence.oldTotal())
     var worst = together
     var text = ""
     for (route in evidence.routes) {
         val old = evidence.old(route)
         for (targets in listOf(evidence.targets(route), evidence.recent(route))) {
             val result = compareVersions(targets, old, loadRatio)
-            if (result == Comparison.FAILING || result == Comparison.SLOW) return bad("route ${route.text}", result, targets, old)
+            if (result == VersionComparison.FAILING ||
+                result == VersionComparison.SLOW
+            ) {
+                return bad("route ${route.text}", result, targets, old)
+            }
             if (result > worst) text = describe("route ${route.text}", result, targets, old)
             worst = maxOf(worst, result)
         }
     }
-    return Verdict(isBad = false, worst >= Comparison.LIKELY_BAD, worst >= Comparison.SUSPICIOUS, text)
+    return Verdict(isBad = false, worst >= VersionComparison.LIKELY_BAD, worst >= VersionComparison.SUSPICIOUS, text)
 }
 
-private fun bad(where: String, result: Comparison, targets: List<RouteCounts>, old: RouteCounts) =
+private fun bad(where: String, result: VersionComparison, targets: List<RouteCounts>, old: RouteCounts) =
     Verdict(isBad = true, isLikelyBad = true, isSuspicious = true, describe(where, result, targets, old))
 
-private fun describe(where: String, result: Comparison, targets: List<RouteCounts>, old: RouteCounts): String {
+private fun describe(where: String, result: VersionComparison, targets: List<RouteCounts>, old: RouteCounts): String {
     val target = targets.fold(RouteCounts(), RouteCounts::plus)
     return "${result.name.lowercase()} on $where: ${target.failed} of ${target.total} failed against ${old.failed} of ${old.total}, " +
         "mean log time %.2f against %.2f".format(target.meanLogMs, old.meanLogMs)
--- a/endivestep/src/main/kotlin/org/endivestep/rollout/VersionComparison.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/rollout/VersionComparison.kt
@@ -7,7 +7,7 @@
 import kotlin.math.sqrt
 
 /** Result of comparing the target version with the others on one route, the least bad first. */
-internal enum class Comparison { NOTHING_BAD, SUSPICIOUS, LIKELY_BAD, FAILING, SLOW }
+internal enum class VersionComparison { NOTHING_BAD, SUSPICIOUS, LIKELY_BAD, FAILING, SLOW }
 
 /**
  * Compares the counters of the target version, one for each of its workers, with [old], those of all other workers.
@@ -15,27 +15,27 @@
  * [loadRatio] is the load of a worker of the target version relative to that of another worker before the roll-out. A verdict must
  * also be supported by the rest of the workers when the worst one is left out, because one slow or ended VM says nothing of a version.
  */
-internal fun compareVersions(targets: List<RouteCounts>, old: RouteCounts, loadRatio: Double): Comparison {
+internal fun compareVersions(targets: List<RouteCounts>, old: RouteCounts, loadRatio: Double): VersionComparison {
     val used = targets.filter { it.total > 0 }
-    if (used.isEmpty()) return Comparison.NOTHING_BAD
+    if (used.isEmpty()) return VersionComparison.NOTHING_BAD
     val failing = failureComparison(used, old)
-    if (failing == Comparison.FAILING) return failing
+    if (failing == VersionComparison.FAILING) return failing
     val slow = slownessComparison(used.filter { it.timed > 0 }, old, loadRatio)
     return maxOf(slow, failing)
 }
 
 /** Compares only the failures, as [compareVersions] does; for counters of all routes together, whose times differ. */
-internal fun failureComparison(targets: List<RouteCounts>, old: RouteCounts): Comparison {
-    if (targets.isEmpty()) return Comparison.NOTHING_BAD
+internal fun failureComparison(targets: List<RouteCounts>, old: RouteCounts): VersionComparison {
+    if (targets.isEmpty()) return VersionComparison.NOTHING_BAD
     val all = targets.sum()
     val evidence = logFailureRatio(all, old)
     val rest = targets.withoutWorst { it.failed.toDouble() }
     val supported = rest == null || logFailureRatio(rest, old) >= SUPPORTING_LOG_RATIO
     return when {
-        evidence >= DECIDING_LOG_RATIO && all.failed >= MIN_FAILURES && supported -> Comparison.FAILING
-        evidence >= LIKELY_LOG_RATIO && all.failed >= MIN_LIKELY_FAILURES && supported -> Comparison.LIKELY_BAD
-        evidence >= SUPPORTING_LOG_RATIO -> Comparison.SUSPICIOUS
-        else -> Comparison.NOTHING_BAD
+        evidence >= DECIDING_LOG_RATIO && all.failed >= MIN_FAILURES && supported -> VersionComparison.FAILING
+        evidence >= LIKELY_LOG_RATIO && all.failed >= MIN_LIKELY_FAILURES && supported -> VersionComparison.LIKELY_BAD
+        evidence >= SUPPORTING_LOG_RATIO -> VersionComparison.SUSPICIOUS
+        else -> VersionComparison.NOTHING_BAD
     }
 }
 
@@ -63,19 +63,19 @@
     return (rate + sqrt(rate / weight)).coerceIn(MIN_FAILURE_RATE, MAX_USUAL_FAILURE_RATE)
 }
 
-private fun slownessComparison(targets: List<RouteCounts>, old: RouteCounts, loadRatio: Double): Comparison {
+private fun slownessComparison(targets: List<RouteCounts>, old: RouteCounts, loadRatio: Double): VersionComparison {
     val all = targets.sum()
-    if (all.timed < MIN_TIMED || old.timed < MIN_TIMED) return Comparison.NOTHING_BAD
+    if (all.timed < MIN_TIMED || old.timed < MIN_TIMED) return VersionComparison.NOTHING_BAD
     val threshold = ln(SLOW_FACTOR) + ln(loadRatio.coerceIn(1.0, MAX_LOAD_RATIO))
     val excess = all.meanLogMs - old.meanLogMs - threshold
     val error = sqrt(all.variance() / all.timed + old.variance() / old.timed)
     val rest = targets.withoutWorst { it.meanLogMs }
     val supported = rest == null || rest.timed > 0 && rest.meanLogMs - old.meanLogMs >= threshold
     return when {
-        excess >= DECIDING_STANDARD_ERRORS * error && supported -> Comparison.SLOW
-        excess >= 0 && supported -> Comparison.LIKELY_BAD
-        excess >= 0 -> Comparison.SUSPICIOUS
-        else -> Comparison.NOTHING_BAD
+        excess >= DECIDING_STANDARD_ERRORS * error && supported -> VersionComparison.SLOW
+        excess >= 0 && supported -> VersionComparison.LIKELY_BAD
+        excess >= 0 -> VersionComparison.SUSPICIOUS
+        else -> VersionComparison.NOTHING_BAD
     }
 }
 
--- a/endivestep/src/test/kotlin/org/endivestep/fakes/UnevenLoadSimulation.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/fakes/UnevenLoadSimulation.kt
@@ -71,18 +71,20 @@
     val failedShare: Double,
 ) {
     fun line(): String =
-        "in time %6.2f%%  p50 %4d  p99 %5d  p99.9 %5d  busiest/mean %4.2f  crossings %5.1f%%  second %5.2f%%  wasted %5.2f%%  failed %5.2f%%"
-            .format(
-                inTimeShare * 100,
-                p50,
-                p99,
-                p999,
-                busiest,
-                crossingShare * 100,
-                secondShare * 100,
-                wastedShare * 100,
-                failedShare * 100,
-            )
+        (
+            "in time %6.2f%%  p50 %4d  p99 %5d  p99.9 %5d  busiest/mean %4.2f  crossings %5.1f%%  " +
+                "second %5.2f%%  wasted %5.2f%%  failed %5.2f%%"
+            ).format(
+            inTimeShare * 100,
+            p50,
+            p99,
+            p999,
+            busiest,
+            crossingShare * 100,
+            secondShare * 100,
+            wastedShare * 100,
+            failedShare * 100,
+        )
 }
 
 internal val simulatedKind = KindName("read")
--- a/endivestep/src/test/kotlin/org/endivestep/quota/QuotaFleet.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/quota/QuotaFleet.kt
@@ -20,8 +20,8 @@
 }
 
 /**
- * Daemons with their quota owners and token stores in virtual time, joined by a network that loses, delays and repeats datagrams. A model of
- * gossip tells each daemon which others are alive, later than it happens.
+ * Daemons with their quota owners and token stores in virtual time, joined by a network that loses, delays and repeats datagrams.
+ * A model of gossip tells each daemon which others are alive, later than it happens.
  */
 internal class QuotaFleet(seed: Long, val count: Int, private val initial: Map<TeamName, TeamQuota>, private val givesBack: Double = 0.0) {
     private class Event(val atMs: Long, val order: Long, val action: () -> Unit)
@@ -221,7 +221,8 @@
             if (reachable) reachedMs[node.index][peer.index] = nowMs
             val isNewcomer = nowMs - maxOf(node.startedMs, peer.startedMs) < 100
             val isDead = !reachable && nowMs - reachedMs[node.index][peer.index] > deathMs[node.index][peer.index]
-            if (reachable && !node.live[peer.index] && !isNewcomer && random.nextDouble() < LEARNED_SHARE) {
+            val isUnknown = reachable && !node.live[peer.index] && !isNewcomer
+            if (isUnknown && random.nextDouble() < LEARNED_SHARE) {
                 node.live[peer.index] = true
                 node.known[peer.index] = true
                 changed = true
--- a/endivestep/src/test/kotlin/org/endivestep/quota/QuotaModelTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/quota/QuotaModelTest.kt
@@ -25,47 +25,52 @@
         Split("few daemons") { it.nodes[(it.random.nextDouble() * it.random.nextDouble() * it.count * 0.3).toInt()] },
     )
 
+private val disturbances = listOf("loss", "delay", "stop", "suspend", "restart", "partition", "isolation", "stop of many")
+
 /** Disturbs [fleet] at random until [untilMs]; returns what was done. */
 private fun disturb(fleet: QuotaFleet, untilMs: Long): List<String> {
     val random = fleet.random
     val log = ArrayList<String>()
-    val durationMs = { maxMs: Long -> 200 + random.nextLong(maxMs) }
     var atMs = WARM_UP_MS
     while (atMs < untilMs) {
         val startMs = atMs
         val node = fleet.nodes[random.nextInt(fleet.count)]
-        val kind = random.nextInt(8)
-        val lengthMs = durationMs(15_000)
-        log +=
-            "$startMs: ${listOf("loss", "delay", "stop", "suspend", "restart", "partition", "isolation", "stop of many")[kind]} $lengthMs"
-        fleet.at(startMs) {
-            when (kind) {
-                0 -> fleet.links = Links(loss = random.nextDouble() * 0.5, duplicates = 0.1)
-                1 -> fleet.links = Links(loss = 0.02, duplicates = 0.05, minDelayMs = 1, maxDelayMs = 20 + random.nextLong(900))
-                2 -> fleet.pause(node, lengthMs, suspended = false)
-                3 -> fleet.pause(node, lengthMs, suspended = true)
-                4 -> node.up = false
-                5 -> {
-                    val share = random.nextDouble()
-                    fleet.nodes.forEach { it.island = if (random.nextDouble() < share) 1 else 0 }
-                }
-                6 -> node.island = 2
-                else -> fleet.nodes.forEach { if (random.nextInt(4) == 0) fleet.pause(it, lengthMs / 3, suspended = random.nextBoolean()) }
-            }
-        }
-        fleet.at(startMs + lengthMs) {
-            when (kind) {
-                0, 1 -> fleet.links = Links()
-                4 -> if (!node.up) node.restart()
-                5 -> fleet.nodes.forEach { it.island = 0 }
-                6 -> node.island = 0
-            }
-        }
+        val kind = random.nextInt(disturbances.size)
+        val lengthMs = 200 + random.nextLong(15_000)
+        log += "$startMs: ${disturbances[kind]} $lengthMs"
+        fleet.at(startMs) { begin(fleet, node, kind, lengthMs) }
+        fleet.at(startMs + lengthMs) { end(fleet, node, kind) }
         atMs += 200 + random.nextLong(6_000)
     }
     return log
 }
 
+private fun begin(fleet: QuotaFleet, node: QuotaFleet.Node, kind: Int, lengthMs: Long) {
+    val random = fleet.random
+    when (kind) {
+        0 -> fleet.links = Links(loss = random.nextDouble() * 0.5, duplicates = 0.1)
+        1 -> fleet.links = Links(loss = 0.02, duplicates = 0.05, minDelayMs = 1, maxDelayMs = 20 + random.nextLong(900))
+        2 -> fleet.pause(node, lengthMs, suspended = false)
+        3 -> fleet.pause(node, lengthMs, suspended = true)
+        4 -> node.up = false
+        5 -> {
+            val share = random.nextDouble()
+            fleet.nodes.forEach { it.island = if (random.nextDouble() < share) 1 else 0 }
+        }
+        6 -> node.island = 2
+        else -> fleet.nodes.forEach { if (random.nextInt(4) == 0) fleet.pause(it, lengthMs / 3, suspended = random.nextBoolean()) }
+    }
+}
+
+private fun end(fleet: QuotaFleet, node: QuotaFleet.Node, kind: Int) {
+    when (kind) {
+        0, 1 -> fleet.links = Links()
+        4 -> if (!node.up) node.restart()
+        5 -> fleet.nodes.forEach { it.island = 0 }
+        6 -> node.island = 0
+    }
+}
+
 class QuotaModelTest :
     FunSpec({
         // Guards against owners or daemons that let more requests run than the limit allows, whatever fails.
--- a/endivestep/src/test/kotlin/org/endivestep/rollout/RolloutSimulationTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/rollout/RolloutSimulationTest.kt
@@ -16,26 +16,34 @@
 
 private fun faultsOf(case: SimulationCase, result: SimulationResult): List<String> =
     buildList {
-        val final = result.final(newVersion)
-        val deadline = ORDER_AT_MS + ORDER_MS
         if (result.ranWithoutPermission > 0) add("${result.ranWithoutPermission} requests ran before a share was written")
-        if (case.behaviour.isBad) {
-            if (final?.second?.state == RolloutState.COMPLETE) add("a bad version is complete at ${final.first}")
-            val isEnded = case.fault in setOf(Fault.REPLACED, Fault.REMOVED)
-            if (final == null && !isEnded) add("a bad version is not reverted")
-            val bound = EXPOSURE * result.requests + SLACK
-            if (result.exposed > bound) add("exposed ${result.exposed}, allowed $bound")
-            if ((result.reactionMs ?: 0) > REACTION_MS) add("reaction ${result.reactionMs} ms")
-        } else {
-            if (final?.second?.state == RolloutState.REVERTED) add("a good version is reverted")
-            val completes = case.fault != Fault.REPLACED && case.fault != Fault.REMOVED
-            if (completes && (final == null || final.first > deadline)) add("a good version is not complete by the deadline: $final")
-            if (final != null && result.triedBeforeComplete < MIN_TRIED) add("complete after ${result.triedBeforeComplete} responses")
-            if (result.oldInFlightAtComplete > 0) add("${result.oldInFlightAtComplete} requests at old workers at the end")
-            if (result.refused > result.requests / MAX_REFUSED_SHARE) add("${result.refused} of ${result.requests} refused")
-        }
+        addAll(if (case.behaviour.isBad) faultsOfBad(case, result) else faultsOfGood(case, result))
     }.map { "$case: $it; ${result.states.map { s -> "${s.first}:${s.second.state}/${s.second.sharePercent}" }}" }
 
+private fun endsEarly(case: SimulationCase) = case.fault in setOf(Fault.REPLACED, Fault.REMOVED)
+
+private fun faultsOfBad(case: SimulationCase, result: SimulationResult): List<String> =
+    buildList {
+        val final = result.final(newVersion)
+        if (final?.second?.state == RolloutState.COMPLETE) add("a bad version is complete at ${final.first}")
+        if (final == null && !endsEarly(case)) add("a bad version is not reverted")
+        val bound = EXPOSURE * result.requests + SLACK
+        if (result.exposed > bound) add("exposed ${result.exposed}, allowed $bound")
+        if ((result.reactionMs ?: 0) > REACTION_MS) add("reaction ${result.reactionMs} ms")
+    }
+
+private fun faultsOfGood(case: SimulationCase, result: SimulationResult): List<String> =
+    buildList {
+        val final = result.final(newVersion)
+        val deadline = ORDER_AT_MS + ORDER_MS
+        if (final?.second?.state == RolloutState.REVERTED) add("a good version is reverted")
+        val isLate = final == null || final.first > deadline
+        if (!endsEarly(case) && isLate) add("a good version is not complete by the deadline: $final")
+        if (final != null && result.triedBeforeComplete < MIN_TRIED) add("complete after ${result.triedBeforeComplete} responses")
+        if (result.oldInFlightAtComplete > 0) add("${result.oldInFlightAtComplete} requests at old workers at the end")
+        if (result.refused > result.requests / MAX_REFUSED_SHARE) add("${result.refused} of ${result.requests} refused")
+    }
+
 private const val MIN_TRIED = 20
 private const val MAX_REFUSED_SHARE = 50
 
