--- a/endivestep/src/main/kotlin/org/endivestep/admission/WaitingQueue.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/admission/WaitingQueue.kt
@@ -49,8 +49,7 @@
     val countedLeadMs: Double get() = if (leadMs <= EQUAL_LEAD_MS) 0.0 else leadMs
 }
 
-// About one request of a usual kind. With 80 ms, fewer requests are answered in time at workers with noisy times; with 300 ms, quiet
-// teams are served less beside a crowd (CapacityPatternsTest).
+// In ms of work, about one request of a usual kind: teams whose leads differ by less are ordered by objective.
 private const val EQUAL_LEAD_MS = 150.0
 
 /**
@@ -170,7 +169,7 @@
         for (request in inOrder(nowMs)) {
             val samePriorityMs = aheadMsByPriority[request.rank.priority] ?: 0.0
             val waitMs = expectedWaitMs(request, aheadMs, samePriorityMs, slots, nowMs)
-            if (request.rank.team != null && request.workMs > 0 && nowMs + waitMs * OVERDUE_MARGIN > request.waitsUntilMs) {
+            if (request.rank.team != null && request.workMs > 0 && nowMs + waitMs * OVERDUE_WAIT_FACTOR > request.waitsUntilMs) {
                 overdue += request
                 continue
             }
@@ -227,8 +226,8 @@
     private fun WaitingRequest.sortKey(nowMs: Long) = WaitingSortKey(rank, isLate(nowMs), leadMs)
 
     private companion object {
-        // A waiting request is refused only when its expected wait is clearly too long: at workers with noisy times, estimates are high
-        // for as long as the worker is slow.
-        const val OVERDUE_MARGIN = 0.6
+        // Factor on the expected wait: estimates are too high while a worker is temporarily slow, so only a clearly excessive wait is
+        // refused.
+        const val OVERDUE_WAIT_FACTOR = 0.6
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/freshness/StoreSchedule.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/freshness/StoreSchedule.kt
@@ -45,7 +45,7 @@
         const val PEERS_FIRST_SPREAD_MS = 1_000L
         const val MIN_BACKOFF_MS = 500L
 
-        // Every daemon of a large fleet asks while the store is out, and refused calls are priced, too.
+        // Limits the calls of a large fleet while the store does not answer; refused calls are charged, too.
         const val MAX_BACKOFF_MS = 4_000L
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/StartupHold.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/StartupHold.kt
@@ -5,7 +5,7 @@
 /**
  * Holds the requests that arrive while the daemon starts, until it can serve them.
  *
- * A daemon that has just started knows no configuration or no worker for some hundred ms. Refusing the requests of that time would
+ * A daemon that has just started knows no configuration or no worker for a short time. Refusing the requests of that time would
  * use up the retries of callers that all come at once. After [STARTUP_MS] nothing is held any more. Thread-safe.
  */
 internal class StartupHold(
--- a/endivestep/src/main/kotlin/org/endivestep/quota/QuotaClock.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/quota/QuotaClock.kt
@@ -2,7 +2,8 @@
 
 /**
  * Clock in ms that also counts the time during which the VM was suspended, when its monotonic clock stands still and the time of day does
- * not. A step of the time of day forward counts as a suspension; one back changes nothing. Thread-safe.
+ * not. A step of the time of day forward counts as a suspension; one back changes nothing.
+ * Differences up to [TOLERANCE_MS] are ignored until they add up to more. Thread-safe.
  */
 internal class QuotaClock(private val monotonicMs: () -> Long, private val timeOfDayMs: () -> Long) {
     private var offsetMs = timeOfDayMs() - monotonicMs()
--- a/endivestep/src/main/kotlin/org/endivestep/quota/QuotaDecision.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/quota/QuotaDecision.kt
@@ -8,7 +8,7 @@
     /** The team is over its limit. */
     LIMIT("limit"),
 
-    /** No owner of the team's tokens grants any, and the fallback allowance is used up. */
+    /** No token arrived in time, for example because no owner replies; the fallback allowance, if in use, is used up. */
     NO_OWNER("no-owner"),
 }
 
--- a/endivestep/src/main/kotlin/org/endivestep/quota/QuotaMessages.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/quota/QuotaMessages.kt
@@ -15,6 +15,6 @@
 
 /**
  * Reply to the request with the same [sequence]. [isGranting] tells whether the owner grants tokens at present. A team that was asked
- * for and is not in [grants] belongs to other owners.
+ * for and is not in [grants] is not granted by this owner at present: it belongs to other owners, or was owned for too short a time.
  */
 internal data class TokenReply(val sequence: Long, val isGranting: Boolean, val grants: List<TokenGrant>)
--- a/endivestep/src/main/kotlin/org/endivestep/quota/QuotaTokens.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/quota/QuotaTokens.kt
@@ -108,7 +108,7 @@
         state.serve(nowMs)
     }
 
-    /** Returns the requests that are to be sent now, one an owner; decides the requests that have waited too long. */
+    /** Returns the requests that are to be sent now, one per owner; decides the requests that have waited too long. */
     fun requests(nowMs: Long): List<OutgoingRequest> {
         val current = view ?: return emptyList()
         val demands = LinkedHashMap<VmName, MutableList<TokenDemand>>()
--- a/endivestep/src/main/kotlin/org/endivestep/quota/QuotaTolerance.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/quota/QuotaTolerance.kt
@@ -7,7 +7,7 @@
 /**
  * How far the requests of a team may exceed its quota: in each span of [windowMs] by the share [overshoot] and [slack] requests.
  *
- * The share [overshoot] pays for tokens that were granted up to [TOKEN_VALIDITY_MS] before the span. The slack pays for the [headroom] of
+ * The share [overshoot] covers tokens that were granted up to [TOKEN_VALIDITY_MS] before the span. The slack covers the [headroom] of
  * the owners' buckets and for the fallback allowances of daemons that reach no owner.
  */
 internal data class QuotaTolerance(val windowMs: Long = 5_000, val overshoot: Double = 0.1, val slack: Int = 20) {
--- a/endivestep/src/main/kotlin/org/endivestep/quota/QuotaView.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/quota/QuotaView.kt
@@ -56,7 +56,7 @@
 
 private fun hash(text: String): Long = Hashing.murmur3_128().hashString(text, Charsets.UTF_8).asLong()
 
-// Finalizer of MurmurHash3 for 64 bits; cheaper than a hash of the combined text, at 75 teams and 1,100 daemons.
+// Finalizer of MurmurHash3 for 64 bits; cheaper than a hash of the combined text of each pair of team and daemon.
 private fun mix(value: Long): Long {
     var mixed = value
     mixed = (mixed xor (mixed ushr 33)) * -0xae502812aa7333L
--- a/endivestep/src/main/kotlin/org/endivestep/rollout/RolloutPlan.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/rollout/RolloutPlan.kt
@@ -31,7 +31,7 @@
  * Times and shares of the stages: a small share, a larger one for a short while under load, then all requests, until the old workers
  * have none left. A stage ends when there is enough evidence, and at the latest when the rest of the time needs it.
  */
-internal class RolloutPlan(private val bounds: RollOutBounds, private val order: RolloutOrder) {
+internal class RolloutPlan(private val bounds: RollOutBounds, order: RolloutOrder) {
     private val durationMs = order.durationMs
 
     fun next(sharePercent: Int, facts: StageFacts): PlannedMove {
@@ -66,7 +66,7 @@
 
     // Where few requests arrive, the bound allows a larger share, and a small one would give no evidence.
     private fun canaryShare(facts: StageFacts): Int {
-        val expected = ratePerMs(facts) * durationMs * (CANARY_LIMIT - START)
+        val expected = ratePerMs(facts) * durationMs * (CANARY_LIMIT - EXPECTED_CANARY_START)
         if (expected <= 0) return MAX_CANARY_PERCENT
         val allowed = (CANARY_BOUND_SHARE * exposureBound(facts) / expected * FULL_SHARE_PERCENT).toInt()
         val startable = (facts.fleet.target.size * COLD_PER_SECOND / MS_PER_SECOND / ratePerMs(facts) * FULL_SHARE_PERCENT).toInt()
@@ -86,14 +86,14 @@
 
     // What the stage under load may add to the exposure, so that most of the bound suffices until its end.
     private fun loadShare(facts: StageFacts): Int {
-        val expected = ratePerMs(facts) * durationMs * LOAD_PERIOD
+        val expected = ratePerMs(facts) * durationMs * LOAD_DURATION_SHARE
         if (expected <= 0) return MAX_LOAD_PERCENT
         val left = max(0.0, RAISE_BOUND_SHARE * exposureBound(facts) - facts.evidence.targetTotal)
         return (left / expected * FULL_SHARE_PERCENT).toInt().coerceIn(MIN_LOAD_SHARE_PERCENT, MAX_LOAD_PERCENT)
     }
 
     private fun toFull(facts: StageFacts): PlannedMove {
-        val planned = isPast(LOAD_END, facts) && facts.stageAgeMs >= durationMs * MIN_LOAD_PERIOD
+        val planned = isPast(LOAD_END, facts) && facts.stageAgeMs >= durationMs * MIN_LOAD_DURATION_SHARE
         val ready = planned && hasEnough(facts) && facts.fleet.target.size >= facts.fleet.old.size * FULL_WORKERS
         val forced = isPast(LOAD_LIMIT, facts) && facts.stageAgeMs >= MIN_FORCED_STAGE_MS
         return when {
@@ -142,13 +142,13 @@
     private fun hasAnyResponse(facts: StageFacts) =
         facts.evidence.targetTotal > 0 || facts.evidence.total == 0L && facts.fleet.target.isNotEmpty()
 
-    // Enough on each route in proportion to its traffic: a route of which a tenth of the requests are seen needs a tenth of the responses.
+    // Each route needs ENOUGH_RESPONSES of the target version; a route with little traffic needs a share of its other responses.
     private fun hasEnough(facts: StageFacts): Boolean {
         if (facts.verdict.isSuspicious || !hasAnyResponse(facts)) return false
         return facts.evidence.routes.all { route ->
             val old = facts.evidence.old(route).total
             val target = facts.evidence.targets(route).sumOf { it.total }
-            target >= min(ENOUGH_RESPONSES, old / RESPONSES_PER_NEEDED)
+            target >= min(ENOUGH_RESPONSES, old / OLD_RESPONSES_PER_TARGET_RESPONSE)
         }
     }
 
@@ -157,6 +157,7 @@
     private fun exposureBound(facts: StageFacts): Double = bounds.exposure * ratePerMs(facts) * durationMs + bounds.slack
 
     private companion object {
+        // Time to observe the rate of requests before the first share is set.
         const val RATE_PERIOD_MS = 600L
         const val MS_PER_SECOND = 1_000.0
 
@@ -169,12 +170,12 @@
         const val COLD_PER_SECOND = 8.0
 
         // Shares of the order's duration.
-        const val START = 0.1
+        const val EXPECTED_CANARY_START = 0.1
         const val CANARY_END = 0.42
         const val CANARY_LIMIT = 0.58
         const val LOAD_END = 0.55
-        const val LOAD_PERIOD = 0.13
-        const val MIN_LOAD_PERIOD = 0.1
+        const val LOAD_DURATION_SHARE = 0.13
+        const val MIN_LOAD_DURATION_SHARE = 0.1
         const val LOAD_LIMIT = 0.7
         const val COMPLETE_START = 0.78
 
@@ -188,12 +189,14 @@
 
         const val MIN_CANARY_MS = 1_000L
         const val MIN_FULL_MS = 1_000L
+
+        // Least age of a stage that the deadline ends, so that some of its responses are seen.
         const val MIN_FORCED_STAGE_MS = 400L
 
         // Includes the time after which a decider of lower rank writes in place of the first.
         const val COMPLETE_MARGIN_MS = 1_400L
 
         const val ENOUGH_RESPONSES = 20L
-        const val RESPONSES_PER_NEEDED = 20L
+        const val OLD_RESPONSES_PER_TARGET_RESPONSE = 20L
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/rollout/RolloutTable.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/rollout/RolloutTable.kt
@@ -4,7 +4,7 @@
 import org.endivestep.identity.WorkerVersion
 import org.endivestep.store.StoreRevision
 
-/** A roll-out with the time in ms at which this daemon first saw its order. */
+/** A roll-out with the time in ms of this daemon's clock at which its order was first seen, by the status where that states it. */
 internal data class KnownRollout(val entry: RolloutEntry, val firstSeenMs: Long)
 
 /** How the versions of a service may be used; [rollout] is null where only versions are [excluded]. */
--- a/endivestep/src/main/kotlin/org/endivestep/rollout/SuspensionClock.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/rollout/SuspensionClock.kt
@@ -2,7 +2,8 @@
 
 /**
  * A clock in ms for the age of what must not be used for too long. It also counts the time in which the VM was suspended, which the
- * monotonic clock leaves out, and so runs ahead when the time of day is set forward. Thread-safe.
+ * monotonic clock leaves out, and so runs ahead when the time of day is set forward. Differences
+ * below [MIN_SUSPENSION_MS] are ignored. Thread-safe.
  */
 internal class SuspensionClock(private val monotonicMs: () -> Long, private val timeOfDayMs: () -> Long) {
     private var lastMonotonicMs = monotonicMs()
--- a/endivestep/src/main/kotlin/org/endivestep/rollout/VersionGate.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/rollout/VersionGate.kt
@@ -40,6 +40,10 @@
         if (isHalt(confirmation.entry, known)) halted = confirmation else latest = confirmation
     }
 
+    /**
+     * Whether a worker of [version] may run requests. Until the roll-outs are known, only [unstatedVersion] may; where a service has
+     * rules, an unknown version may not.
+     */
     fun permits(service: ServiceName, version: WorkerVersion?): Boolean {
         if (!table.isKnown) return version == unstatedVersion
         val rules = table.rules(service) ?: return true
