Revert the shorter wait of owners of quotas after a start

The wait is part of what keeps two owners from granting at the same time, so it stays until the model allows a shorter one. The cost is open: requests of teams are refused for four to six seconds after a loss of all daemons.

--- a/endivestep/src/main/kotlin/org/endivestep/quota/QuotaOwner.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/quota/QuotaOwner.kt
@@ -7,7 +7,7 @@
 /** Why a daemon grants no tokens of the teams that it owns. */
 internal enum class GrantState(val text: String) {
     GRANTING("granting"),
-    STARTING("it waits, as it has heard from most daemons only for a short time"),
+    STARTING("it waits, as it has heard from most daemons for less than 3 s"),
     NO_MAJORITY("it has not heard from most daemons"),
 }
 
@@ -16,7 +16,7 @@
  *
  * The daemon grants only while it has heard from more than half of the known members within [HEARD_MS], and has done so for that long:
  * an owner that the same members have just left may grant until then. It grants only tokens of teams that it has owned for [OWNER_MS].
- * An unreachable owner stops granting before its peers replace it, because gossip takes 5 s to declare a member dead. When the majority or
+ * Peers replace an owner that they don't hear later than it stops: gossip takes 5 s to declare a member dead. When the majority or
  * the ownership is lost, or this daemon was paused, the buckets begin anew, empty.
  *
  * A pure state machine. Times are in ms of a clock that also counts suspensions. Not thread-safe.
@@ -36,9 +36,6 @@
     private var ignoreUntilMs = 0L
     private var majoritySinceMs = NEVER
 
-    // Whether this daemon has not lost a majority since its start, so that nobody can have taken its teams over in the meantime.
-    private var isFirstMajority = true
-
     /** What decides whether tokens are granted, as of the last [update]. */
     var state = GrantState.STARTING
         private set
@@ -48,6 +45,7 @@
         private set
 
     val ownedCount: Int get() = teams.size
+    val knownCount: Int get() = known.size
 
     /** Takes the current members and limits over; to be called at least every [MAX_GAP_MS] / 2. */
     fun update(view: QuotaView, nowMs: Long) {
@@ -61,7 +59,6 @@
         heardCount = known.count { it == self || nowMs - (heardMs[it] ?: NEVER) <= HEARD_MS }
         val hasMajority = heardCount * 2 > known.size
         if (!hasMajority) {
-            isFirstMajority = isFirstMajority && majoritySinceMs == NEVER
             majoritySinceMs = NEVER
         } else if (majoritySinceMs == NEVER) {
             majoritySinceMs = nowMs
@@ -75,7 +72,7 @@
         if (isCurrent(nowMs) && nowMs >= ignoreUntilMs && vm in known) heardMs[vm] = nowMs
     }
 
-    /** Returns the reply to [request], or null when there is none: the sender is not known, it was handled before, or has no demands. */
+    /** Returns the reply to [request], or null when it needs none: it was handled before, or has no demands. */
     fun handle(request: TokenRequest, nowMs: Long): TokenReply? {
         heard(request.sender, nowMs)
         if (request.sender !in known && request.sender != self) return null
@@ -98,7 +95,6 @@
 
     // Datagrams that arrived during a pause are still queued; they do not show that their senders reach this daemon now.
     private fun restart(nowMs: Long) {
-        isFirstMajority = updatedMs == NEVER
         majoritySinceMs = NEVER
         ignoreUntilMs = if (updatedMs == NEVER) nowMs else nowMs + QUEUED_MS
         heardMs.clear()
@@ -108,7 +104,7 @@
     private fun currentState(nowMs: Long): GrantState =
         when {
             majoritySinceMs == NEVER -> GrantState.NO_MAJORITY
-            nowMs - majoritySinceMs < (if (isFirstMajority) FIRST_MAJORITY_MS else HEARD_MS) -> GrantState.STARTING
+            nowMs - majoritySinceMs < HEARD_MS -> GrantState.STARTING
             else -> GrantState.GRANTING
         }
 
@@ -135,11 +131,7 @@
         /** A longer time without [update] counts as a pause of the process. */
         const val MAX_GAP_MS = 1_000L
 
-        // After a start of all daemons nobody grants, so a long wait would refuse the requests of all teams.
-        private const val FIRST_MAJORITY_MS = 1_000L
         private const val UPDATE_MS = 100L
-
-        // Time to read the datagrams that were queued during a pause.
         private const val QUEUED_MS = 300L
         private const val MAX_DEMANDS = 1_000
         private const val MAX_TOKENS = 1_000
--- a/endivestep/src/test/kotlin/org/endivestep/quota/QuotaOwnerTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/quota/QuotaOwnerTest.kt
@@ -101,7 +101,7 @@
         test("the bucket starts empty, fills at the share of the rate and holds the share of the burst") {
             class Case(val name: String, val atMs: Long, val granted: Int)
             // Two owners: 10 a second; 10 tokens and a headroom of 2. The daemon becomes an owner after 3.1 s.
-            listOf(Case("after 1 s", 2_100, 10), Case("after 1.2 s", 2_300, 12), Case("later", 60_000, 12)).forEach { case ->
+            listOf(Case("after 1 s", 4_100, 10), Case("after 1.2 s", 4_300, 12), Case("later", 60_000, 12)).forEach { case ->
                 val fixture = Fixture()
                 fixture.pass(0, case.atMs)
                 withClue(case.name) { fixture.granted(request(1, 100), case.atMs) shouldBe case.granted }
