--- a/endivestep/src/main/kotlin/org/endivestep/quota/QuotaOwner.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/quota/QuotaOwner.kt
@@ -16,7 +16,7 @@
  *
  * The daemon grants only while it has heard from more than half of the known members within [HEARD_MS], and has done so for that long:
  * an owner that the same members have just left may grant until then. It grants only tokens of teams that it has owned for [OWNER_MS].
- * Peers replace an owner that they don't hear later than it stops: gossip takes 5 s to declare a member dead. When the majority or
+ * An unreachable owner stops granting before its peers replace it, as gossip takes 5 s to declare a member dead. When the majority or
  * the ownership is lost, or this daemon was paused, the buckets begin anew, empty.
  *
  * A pure state machine. Times are in ms of a clock that also counts suspensions. Not thread-safe.
@@ -45,7 +45,6 @@
         private set
 
     val ownedCount: Int get() = teams.size
-    val knownCount: Int get() = known.size
 
     /** Takes the current members and limits over; to be called at least every [MAX_GAP_MS] / 2. */
     fun update(view: QuotaView, nowMs: Long) {
@@ -132,6 +131,8 @@
         const val MAX_GAP_MS = 1_000L
 
         private const val UPDATE_MS = 100L
+
+        // Time to read the datagrams that were queued during a pause.
         private const val QUEUED_MS = 300L
         private const val MAX_DEMANDS = 1_000
         private const val MAX_TOKENS = 1_000
