--- a/review/standins-2/Client.java
+++ b/review/standins-2/Client.java
@@ -16,6 +16,12 @@
         int bytes;
         boolean stamped;
         boolean bodyIsRight;
+
+        /** Whether the connection had carried a request before. */
+        boolean wasKept;
+
+        /** Whether the daemon closed the connection before a byte of an answer came. */
+        boolean closedUnanswered;
         String failure = "";
 
         @Override
@@ -49,6 +55,7 @@
         answer.sentMs = sentMs;
         record.line("client sends " + requestId + " " + method + " " + target + ", body " + body.length + ", deadline " + deadlineMs);
         try {
+            answer.wasKept = socket != null;
             if (socket == null) connect();
             StringBuilder head = new StringBuilder();
             head.append(method).append(' ').append(target).append(" HTTP/1.1\r\nHost: ").append(host).append("\r\nX-Request-Id: ").append(requestId);
@@ -79,7 +86,10 @@
     private void read(Answer answer, long untilMs) throws IOException {
         TimedInput timed = new TimedInput(socket, in, record, untilMs);
         Http.Head head = Http.readHead(timed);
-        if (head == null) throw new IOException("closed without an answer");
+        if (head == null) {
+            answer.closedUnanswered = true;
+            throw new IOException("closed without an answer");
+        }
         byte[] body = Http.readBody(timed, head);
         answer.status = Integer.parseInt(head.line().split(" ")[1]);
         answer.bytes = body.length;
