--- a/review/standins-2/Fleet.java
+++ b/review/standins-2/Fleet.java
@@ -59,6 +59,19 @@
             return new InetSocketAddress(ip, outboundPort);
         }
 
+        /** Returns when the daemon accepts connections at its readiness address, or after [timeoutMs]. */
+        void awaitListening(long timeoutMs) throws InterruptedException {
+            long untilMs = record.ms() + timeoutMs;
+            while (record.ms() < untilMs) {
+                try (Socket socket = new Socket()) {
+                    socket.connect(new InetSocketAddress(ip, readyPort), 500);
+                    return;
+                } catch (IOException e) {
+                    Thread.sleep(5);
+                }
+            }
+        }
+
         boolean isReady() {
             try (Socket socket = new Socket()) {
                 socket.connect(new InetSocketAddress(ip, readyPort), 500);
--- a/review/standins-2/FreshOwner.java
+++ b/review/standins-2/FreshOwner.java
@@ -20,7 +20,7 @@
     private static final long DARK_MS = 3_500;
     private static final long CUT_MS = 5_000;
 
-    // The partition begins before the daemon that starts again has met another one.
+    // The partition begins this long after the start, or when the daemon listens if that is earlier, before it has met another one.
     private static final long CUT_AFTER_START_MS = 500;
 
     private static final String CONFIGURATION =
@@ -75,14 +75,14 @@
                 Thread.sleep(DARK_MS);
                 record.line("the daemon of " + cut.name + " starts again");
                 cut.startDaemon();
-                Thread.sleep(CUT_AFTER_START_MS);
+                cut.awaitListening(CUT_AFTER_START_MS);
                 fleet.links.cutOff(cut.name);
                 record.line("the zone of " + cut.name + " is partitioned from the others");
                 Thread.sleep(CUT_MS);
                 fleet.links.cutOff(null);
                 record.line("the partition ends");
             } else {
-                Thread.sleep(DARK_MS + CUT_AFTER_START_MS + CUT_MS);
+                Thread.sleep(DARK_MS + CUT_MS);
             }
             Thread.sleep(6_000);
             ended = true;
