review/7: wait out contact_s before the requests

Cause: the requests were sent little more than 3 s after the start of the daemon that takes them, so a faster machine could have sent them before that daemon counts as in touch.

Tried: nothing else; the check and the disruption are the same.

--- a/review/standins-2/FrozenPeer.java
+++ b/review/standins-2/FrozenPeer.java
@@ -62,7 +62,8 @@
                 threads.add(thread);
                 thread.start();
             }
-            Thread.sleep(2_000);
+            // The daemon that takes the requests must have run for contact_s (3 s) before them.
+            Thread.sleep(4_000);
             begin.countDown();
             Thread.sleep(500);
             if (trouble) back.signal("STOP");
