--- a/review/standins-2/FreshOwner.java
+++ b/review/standins-2/FreshOwner.java
@@ -132,7 +132,7 @@
         long mostFromMs = 0;
         for (Worker.Run first : runs) {
             long fromMs = answers.get(first.requestId()) == null ? first.ms() : answers.get(first.requestId()).sentMs;
-            long count = runs.stream().filter(run -> isWithin(run, answers.get(run.requestId()), fromMs)).count();
+            long count = runs.stream().filter(run -> isWithin(run, answers.get(run.requestId()), fromMs)).map(Worker.Run::requestId).distinct().count();
             if (count > most) {
                 most = count;
                 mostFromMs = fromMs;
