--- a/emulator/src/main/kotlin/org/endivestep/emulator/SpoilingWorkerServer.kt
+++ b/emulator/src/main/kotlin/org/endivestep/emulator/SpoilingWorkerServer.kt
@@ -43,6 +43,8 @@
     port: Int,
     private val service: String,
     private val behaviour: PlatformWorkerBehaviour,
+    /** What the worker does with a request before it answers; blocks. */
+    private val work: (RawHttpMessage) -> Unit = { Thread.sleep(behaviour.workMs) },
     private val chooseFault: () -> AnswerFault?,
 ) : Closeable {
     private val listener = ServerSocket(port, ACCEPT_QUEUE_SIZE, InetAddress.getLoopbackAddress())
@@ -151,7 +153,7 @@
         val run = WorkerRun(id, target, request.header("X-Caller"), digest, service, System.nanoTime(), fault, followsCopy)
         recorded += run
         try {
-            Thread.sleep(behaviour.workMs)
+            work(request)
             run.hasNoWholeAnswer = listener.isClosed || answersWithoutEnd
             return if (answersWithoutEnd) Answer(endlessHead(id), isEndless = true) else Answer(spoilt(id, fault), fault)
         } finally {
--- a/emulator/src/test/kotlin/org/endivestep/emulator/DelayedDaemonsProcessTest.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/DelayedDaemonsProcessTest.kt
@@ -5,10 +5,7 @@
 import io.kotest.matchers.ints.shouldBeGreaterThanOrEqual
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import java.io.Closeable
-import java.net.InetSocketAddress
-import java.net.Socket
 import java.util.Random
-import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
 
 private const val HOST = "shop.example"
@@ -96,7 +93,7 @@
     init {
         fleet.startDaemons(configuration)
         calling.forEach(fleet::startWorker)
-        workers = serving.map(::RecordingWorker)
+        workers = serving.map { RecordingWorker(it, SLOTS, WORK_MS) }
         awaitReads()
     }
 
@@ -105,28 +102,27 @@
             calling.all { runCatching { fleet.send(it, HOST, "/reads/1").statusCode() }.getOrNull() == 200 }
         }
 
-    /** Sends [REQUESTS] while all daemons run for [runMs] and stop for [stopMs] by turns; returns their callers, which have left. */
-    fun sendWhileDelayed(runMs: Long, stopMs: Long): List<DeadlineCaller> {
+    /** Sends [REQUESTS] while all daemons run for [runMs] and stop for [stopMs] by turns; returns how they ended. */
+    fun sendWhileDelayed(runMs: Long, stopMs: Long): List<CallerEnd> {
         val random = Random(SEED)
-        val callers = (0 until REQUESTS).map { DeadlineCaller("r$it", calling[random.nextInt(calling.size)].callerPort) }
+        val callers = (0 until REQUESTS).map { caller("r$it", calling[random.nextInt(calling.size)].callerPort) }
         val partTimes = (calling + serving).map { PartTime(it.daemon, runMs, stopMs) }
         callers.forEach {
             it.start()
             Thread.sleep(REQUEST_INTERVAL_MS)
         }
-        callers.forEach { it.await() }
+        val ends = callers.map { it.await() }
         partTimes.forEach { it.close() }
-        return callers
+        return ends
     }
 
+    private fun caller(id: String, port: Int) = DeadlineCaller(id, "/reads/$id", port, HOST, DEADLINE_MS)
+
     /** Returns for each request that reached a worker the time in ms from its caller's leaving to that, negative while it waited. */
-    fun delaysMs(callers: List<DeadlineCaller>): List<Long> {
+    fun delaysMs(ends: List<CallerEnd>): List<Long> {
         // What still is on its way arrives.
         Thread.sleep(DEADLINE_MS)
-        val leftNanos = callers.associate { it.id to it.leftNanos }
-        return workers.flatMap { it.runs }.mapNotNull { run ->
-            leftNanos[run.requestId]?.let { TimeUnit.NANOSECONDS.toMillis(run.startNanos - it) }
-        }
+        return runDelays(workers.flatMap { it.runs }, ends).map { it.delayMs }
     }
 
     override fun close() {
@@ -134,58 +130,3 @@
         fleet.close()
     }
 }
-
-private class RecordingWorker(node: PlatformNode) : Closeable {
-    private val behaviour = PlatformWorkerBehaviour("i-${node.vm}", SLOTS, WORK_MS)
-    private val server = SpoilingWorkerServer(node.workerPort, node.service, behaviour) { null }
-    private val heartbeats = PlatformHeartbeats("http://127.0.0.1:${node.heartbeatPort}", behaviour, node.service)
-
-    val runs: Collection<WorkerRun> get() = server.runs
-
-    init {
-        heartbeats.start("127.0.0.1:${node.workerPort}")
-    }
-
-    override fun close() {
-        heartbeats.close()
-        server.close()
-    }
-}
-
-/** A caller that sends one request on a connection of its own, and closes it when the answer has come or its deadline has passed. */
-private class DeadlineCaller(val id: String, private val port: Int) {
-    /** When the connection was closed, on the clock of [System.nanoTime]. */
-    @Volatile
-    var leftNanos = Long.MAX_VALUE
-        private set
-
-    /** Status of the answer, 0 without one. */
-    @Volatile
-    var status = 0
-        private set
-
-    private lateinit var exchange: Thread
-
-    fun start() {
-        exchange = thread(isDaemon = true) { runCatching(::send).onFailure { leftNanos = System.nanoTime() } }
-    }
-
-    fun await() = exchange.join()
-
-    private fun send() {
-        val untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(DEADLINE_MS)
-        val head = "GET /reads/$id HTTP/1.1\r\nHost: $HOST\r\nX-Request-Id: $id\r\nX-Deadline-Ms: $DEADLINE_MS\r\n\r\n"
-        Socket().use { socket ->
-            try {
-                socket.connect(InetSocketAddress("127.0.0.1", port), DEADLINE_MS.toInt())
-                socket.getOutputStream().write(head.toByteArray())
-                val remainingMs = TimeUnit.NANOSECONDS.toMillis(untilNanos - System.nanoTime()).coerceAtLeast(1)
-                socket.soTimeout = remainingMs.toInt()
-                val line = socket.getInputStream().readNBytes("HTTP/1.1 200".length).decodeToString()
-                status = line.takeLast(3).toIntOrNull() ?: 0
-            } finally {
-                leftNanos = System.nanoTime()
-            }
-        }
-    }
-}
--- a/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
@@ -1,6 +1,5 @@
 package org.endivestep.egress
 
-import io.github.oshai.kotlinlogging.KotlinLogging
 import org.endivestep.admission.Admission
 import org.endivestep.admission.AdmissionLimit
 import org.endivestep.admission.AdmissionQueue
@@ -12,11 +11,10 @@
 import org.endivestep.document.Document
 import org.endivestep.document.Service
 import org.endivestep.exchange.AttemptRequest
+import org.endivestep.exchange.monotonicMs
 import org.endivestep.identity.AttemptId
 import org.endivestep.identity.DataCentreName
 import org.endivestep.metrics.AdmissionRecord
-import org.endivestep.metrics.LogEntry
-import org.endivestep.metrics.RateLimitedLog
 import org.endivestep.outcome.AttemptResult
 import org.endivestep.outcome.NotRunReason
 import org.endivestep.outcome.UnknownReason
@@ -25,10 +23,8 @@
 import org.endivestep.rollout.everyVersionPermitted
 import java.util.concurrent.TimeUnit
 
-private val logger = KotlinLogging.logger {}
 private const val FIRST_ERROR = 400
 private const val FIRST_SERVER_ERROR = 500
-private const val LOG_LINES_PER_SECOND = 30
 
 /**
  * Admits requests to this daemon's worker and runs them there.
@@ -53,7 +49,7 @@
     private val onAdmission: (AdmissionRecord) -> Unit = { },
     private val call: WorkerCall,
 ) {
-    private val log = RateLimitedLog(logger, LOG_LINES_PER_SECOND, ::nowMs)
+    private val log = RunLog(::nowMs)
 
     @Volatile
     private var stopping = false
@@ -142,6 +138,7 @@
             return AttemptResult.Unknown(UnknownReason.EARLIER_ATTEMPT, admission.load)
         }
         lastTrafficMs = nowMs()
+        request.times.admittedMs = monotonicMs()
         val run = EgressRun(request, worker, permit, admission, crashes, clockNanos, observer)
         run.begin()
         // Checked again now that the request counts as in flight: a roll-out is completed when no old worker has one.
@@ -175,34 +172,13 @@
         var result: WorkerResult? = null
         try {
             result = call(worker, run.request)
-            logFailure(run, worker, result)
             return result
         } finally {
+            log.write(run, worker, result)
             if (result == null) run.end(Completion.Cancelled)
         }
     }
 
-    private fun logFailure(run: EgressRun, worker: LocalWorker, result: WorkerResult) {
-        val cause =
-            when (result) {
-                is WorkerResult.Failed -> result.cause
-                is WorkerResult.NotSent -> result.cause
-                else -> return
-            }
-        log.write {
-            val fields =
-                mapOf(
-                    "request" to run.request.requestId.text,
-                    "attempt" to run.request.attemptId.text,
-                    "worker" to worker.announcement.incarnation.text,
-                    "cause" to cause,
-                    "elapsedMs" to run.elapsedMs().toLong(),
-                    "sent" to (result is WorkerResult.Failed),
-                )
-            LogEntry("the worker gave no answer", fields)
-        }
-    }
-
     private fun notifyAdmitted(permit: AdmissionLimit.Permit, onAdmitted: () -> Unit) {
         var notified = false
         try {
--- a/endivestep/src/main/kotlin/org/endivestep/egress/NettyWorkerCall.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/NettyWorkerCall.kt
@@ -76,7 +76,7 @@
             connections.release(address, connection)
             return WorkerResult.Expired
         }
-        connection.send(head(), attempt.body, remainingMs()) { !cancelled && attempt.isNeeded(monotonicMs()) }
+        connection.send(head(), attempt.body, remainingMs(), ::mayWrite)
         return when (val event = connection.next(remainingMs().coerceAtLeast(1))) {
             HttpResponseEvent.NotSent -> {
                 connections.release(address, connection)
@@ -98,6 +98,14 @@
         }
     }
 
+    // Asked by the event loop as the last thing before it writes.
+    private fun mayWrite(): Boolean {
+        val nowMs = monotonicMs()
+        if (cancelled || !attempt.isNeeded(nowMs)) return false
+        attempt.times.writtenMs = nowMs
+        return true
+    }
+
     private fun attributionOf(head: AnswerHead) = attributionOf(attempt.requestId, head, headers)
 
     private fun isExpected(head: AnswerHead): Boolean = attributionOf(head) != AnswerAttribution.OtherRequest
--- a/endivestep/src/main/kotlin/org/endivestep/exchange/AttemptRequest.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/exchange/AttemptRequest.kt
@@ -52,6 +52,7 @@
     val maxWaitMs: Long = Long.MAX_VALUE,
     /** Tells whether anybody still waits for the answer. */
     val cancellation: Cancellation = Cancellation(),
+    val times: AttemptTimes = AttemptTimes(),
 ) {
     init {
         require((body as? RequestBody.Streamed)?.isOpened != true) { "an attempt needs the whole body, and a part of it was read" }
@@ -85,5 +86,6 @@
             rank,
             maxWaitMs,
             cancellation,
+            times,
         )
 }
--- a/endivestep/src/main/kotlin/org/endivestep/exchange/Cancellation.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/exchange/Cancellation.kt
@@ -13,11 +13,17 @@
     var isCancelled = false
         private set
 
+    /** When the request was cancelled, on the clock of [monotonicMs]; null while it is not. */
+    @Volatile
+    var cancelledMs: Long? = null
+        private set
+
     /** Cancels the request and calls the listener, if there is one; has no effect when the request was cancelled before. */
     fun cancel() {
         val current =
             synchronized(this) {
                 if (isCancelled) return
+                cancelledMs = monotonicMs()
                 isCancelled = true
                 listener
             }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/IncomingCall.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/IncomingCall.kt
@@ -41,6 +41,8 @@
     val rank: RequestRank = RequestRank(),
     /** Tells whether the caller still waits for the answer. */
     val cancellation: Cancellation = Cancellation(),
+    /** When the caller sent the request, as far as that can be told. */
+    val sentMs: Long = startMs,
 ) {
     /** Whether the body can still be sent from its beginning. */
     val replayable: Boolean get() = (body as? RequestBody.Streamed)?.isOpened != true
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/RequestLog.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/RequestLog.kt
@@ -38,6 +38,12 @@
         log.write { LogEntry("request ${result.outcome.text}", fields(request, result, elapsedMs)) }
     }
 
+    /** Writes the line of [request], whose caller left before an answer to it began; [call] is what was sent to a worker. */
+    fun writeAbandoned(request: CallerRequest, call: IncomingCall, rule: RouteRule) {
+        val result = RequestOutcome(FinalOutcome.UNKNOWN, status = 0, reason = "", rule = rule, call = call)
+        problems.write { LogEntry("request abandoned by its caller", fields(request, result, monotonicMs() - request.arrivedMs)) }
+    }
+
     private fun isSuccess(result: RequestOutcome, elapsedMs: Long): Boolean =
         result.outcome == FinalOutcome.ANSWERED &&
             result.status < FIRST_SERVER_ERROR &&
@@ -54,6 +60,8 @@
             if (result.outcome != FinalOutcome.ANSWERED) result.call?.let { put("fingerprint", it.fingerprint.text) }
             put("elapsedMs", elapsedMs)
             put("readDelayMs", request.readDelayMs)
+            result.call?.let { put("countedMs", request.arrivedMs - it.sentMs) }
+            request.cancellation.cancelledMs?.let { put("leftMs", it - request.arrivedMs) }
             result.call?.let { put("dispatchedMs", it.dispatchedMs - request.arrivedMs) }
             put("deadlineMs", request.header(headers.deadlineMs).orEmpty())
             result.rule?.let { put("objectiveMs", it.objectiveMs) }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
@@ -107,7 +107,13 @@
         if (deadline.remainingMs(monotonicMs()) <= 0) return refusal(request, rule, NotRunReason.DEADLINE_PASSED)
         if (deadline.atMs > endMs) return refusal(request, rule, NotRunReason.LEAVING)
         val call = call(request, rule, service, requestId, deadline, identity)
-        val limited = withinQuota(admitByQuota, call.rank.team, deadline) { dispatch(call, AttemptId(randomId())) }
+        val limited =
+            try {
+                withinQuota(admitByQuota, call.rank.team, deadline) { dispatch(call, AttemptId(randomId())) }
+            } catch (e: InterruptedException) {
+                log.writeAbandoned(request, call, rule)
+                throw e
+            }
         val result = limited.result
         // A team over its limit must not gain the precedence of repeated requests.
         if (limited.retryAfterMs != null) return refusal(request, rule, NotRunReason.QUOTA_EXCEEDED, call, limited.retryAfterMs)
@@ -163,6 +169,7 @@
                 team = team?.name,
             ),
             cancellation = request.cancellation,
+            sentMs = sentMs(request, rule),
         )
     }
 
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ServedExchange.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ServedExchange.kt
@@ -6,6 +6,7 @@
 import io.grpc.stub.ServerCallStreamObserver
 import org.endivestep.egress.Egress
 import org.endivestep.exchange.AttemptRequest
+import org.endivestep.exchange.AttemptTimes
 import org.endivestep.exchange.Cancellation
 import org.endivestep.exchange.Deadline
 import org.endivestep.exchange.RequestBody
@@ -156,6 +157,7 @@
             rank = RequestRank(head.priority, sentMs + head.objectiveMs, head.nested, head.repeated, team(head)),
             maxWaitMs = head.patienceMs,
             cancellation = cancellation,
+            times = AttemptTimes(arrivedMs, waitedMs),
         )
     }
 
