--- a/emulator/src/test/kotlin/org/endivestep/emulator/DepartingCallers.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/DepartingCallers.kt
@@ -25,17 +25,20 @@
     private val socket = Socket()
     private val input by lazy { BufferedInputStream(socket.getInputStream()) }
 
-    /** Sends a request for [path] and waits for the answer until [deadlineMs] have passed; closes the connection unless one came. */
-    fun exchange(id: String, path: String, deadlineMs: Long): CallerEnd {
+    /**
+     * Sends a request for [path] whose stated deadline is [deadlineMs], and waits for the answer until [patienceMs] have passed; closes the
+     * connection unless one came.
+     */
+    fun exchange(id: String, path: String, deadlineMs: Long, patienceMs: Long = deadlineMs): CallerEnd {
         val sentNanos = System.nanoTime()
         var wasCutOff = false
         var status = 0
         try {
-            if (!socket.isConnected) socket.connect(InetSocketAddress("127.0.0.1", port), deadlineMs.toInt())
+            if (!socket.isConnected) socket.connect(InetSocketAddress("127.0.0.1", port), patienceMs.toInt())
             val head = "GET $path HTTP/1.1\r\nHost: $host\r\nX-Request-Id: $id\r\nX-Deadline-Ms: $deadlineMs\r\n\r\n"
             socket.getOutputStream().write(head.toByteArray())
             val spentMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos)
-            socket.soTimeout = (deadlineMs - spentMs).coerceAtLeast(1).toInt()
+            socket.soTimeout = (patienceMs - spentMs).coerceAtLeast(1).toInt()
             val answer = RawHttpMessage.read(input)
             status = answer?.startLine?.split(' ')?.getOrNull(1)?.toIntOrNull() ?: 0
             wasCutOff = answer == null
@@ -52,13 +55,14 @@
     override fun close() = socket.close()
 }
 
-/** A caller that sends one request on a connection of its own, and closes it when the answer has come or [deadlineMs] have passed. */
+/** A caller that sends one request on a connection of its own, and closes it when the answer has come or [patienceMs] have passed. */
 internal class DeadlineCaller(
     private val id: String,
     private val path: String,
     private val port: Int,
     private val host: String,
     private val deadlineMs: Long,
+    private val patienceMs: Long = deadlineMs,
 ) {
     private lateinit var ended: CallerEnd
     private lateinit var exchange: Thread
@@ -66,7 +70,7 @@
     fun start() {
         exchange =
             thread(isDaemon = true) {
-                ended = CallerConnectionToDaemon(port, host).use { it.exchange(id, path, deadlineMs) }
+                ended = CallerConnectionToDaemon(port, host).use { it.exchange(id, path, deadlineMs, patienceMs) }
             }
     }
 
@@ -78,12 +82,8 @@
 }
 
 /** A worker beside the daemon of [node], in this process, that records what it runs and for each request does [work]. */
-internal class RecordingWorker(
-    node: PlatformNode,
-    slots: Int,
-    workMs: Long,
-    work: (RawHttpMessage) -> Unit = { Thread.sleep(workMs) },
-) : Closeable {
+internal class RecordingWorker(node: PlatformNode, slots: Int, workMs: Long, work: (RawHttpMessage) -> Unit = { Thread.sleep(workMs) }) :
+    Closeable {
     private val behaviour = PlatformWorkerBehaviour("i-${node.vm}", slots, workMs)
     private val server = SpoilingWorkerServer(node.workerPort, node.service, behaviour, work) { null }
     private val heartbeats = PlatformHeartbeats("http://127.0.0.1:${node.heartbeatPort}", behaviour, node.service)
--- a/emulator/src/test/kotlin/org/endivestep/emulator/SoakWorker.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/SoakWorker.kt
@@ -15,7 +15,7 @@
 
     fun start() {
         val behaviour = PlatformWorkerBehaviour(id, SLOTS, WORK_MS)
-        servers += SpoilingWorkerServer(node.workerPort, node.service, behaviour, chooseFault)
+        servers += SpoilingWorkerServer(node.workerPort, node.service, behaviour, chooseFault = chooseFault)
         heartbeats = PlatformHeartbeats("http://127.0.0.1:${node.heartbeatPort}", behaviour, node.service)
         heartbeats.start("127.0.0.1:${node.workerPort}")
     }
