--- a/endivestep/src/main/kotlin/org/endivestep/daemon/InnerServer.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/InnerServer.kt
@@ -8,7 +8,6 @@
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.nio.NioEventLoopGroup
 import io.netty.channel.socket.nio.NioServerSocketChannel
-import org.endivestep.protocol.CrossingDelay
 import org.endivestep.settings.Address
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
@@ -37,7 +36,6 @@
         .flowControlWindow(FLOW_WINDOW_BYTES)
         .permitKeepAliveTime(KEEP_ALIVE_PERMITTED_SECONDS, TimeUnit.SECONDS)
         .permitKeepAliveWithoutCalls(true)
-        .apply { CrossingDelay.measureOn(this) }
         .apply { interceptors.forEach(::intercept) }
         .apply { services.forEach(::addService) }
         .build()
--- a/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
@@ -76,6 +76,8 @@
         val service = document()?.services?.get(request.service) ?: return refuse(NotRunReason.NO_CONFIGURATION)
         val worker = workers.worker
         refusal(request, worker)?.let { return refuse(it) }
+        // Asked here already, so that a request whose caller may have left takes no place in the queue.
+        if (!request.lease.renewIfOld()) return refuse(NotRunReason.DELAYED)
         return when (val decision = admit(request)) {
             is Admission.Refused -> refuse(decision.reason)
             is Admission.Admitted -> runAdmitted(request, service, checkNotNull(worker), decision.permit, onAdmitted)
@@ -131,7 +133,8 @@
     ): AttemptResult {
         val refusal = refusal(request, workers.worker)
         if (refusal != null) return releaseAndRefuse(permit, refusal)
-        notifyAdmitted(permit, onAdmitted)
+        if (!releasingOnFailure(permit) { request.lease.renewIfOld() }) return releaseAndRefuse(permit, NotRunReason.DELAYED)
+        releasingOnFailure(permit, onAdmitted)
         if (!attempts.start(request.attemptId)) {
             if (attempts.isFenced(request.attemptId)) return releaseAndRefuse(permit, NotRunReason.FENCED)
             admission.release(permit, Completion.Cancelled)
@@ -154,7 +157,7 @@
             }
             WorkerResult.Expired -> {
                 run.end(Completion.Cancelled)
-                AttemptResult.NotRun(NotRunReason.DEADLINE_PASSED, admission.load)
+                refuse(if (request.isNeeded(nowMs())) NotRunReason.DELAYED else NotRunReason.DEADLINE_PASSED)
             }
             WorkerResult.Cancelled -> {
                 run.end(Completion.Cancelled)
@@ -179,13 +182,12 @@
         }
     }
 
-    private fun notifyAdmitted(permit: AdmissionLimit.Permit, onAdmitted: () -> Unit) {
-        var notified = false
+    private fun <T> releasingOnFailure(permit: AdmissionLimit.Permit, action: () -> T): T {
+        var succeeded = false
         try {
-            onAdmitted()
-            notified = true
+            return action().also { succeeded = true }
         } finally {
-            if (!notified) admission.release(permit, Completion.Cancelled)
+            if (!succeeded) admission.release(permit, Completion.Cancelled)
         }
     }
 
--- a/endivestep/src/main/kotlin/org/endivestep/egress/NettyWorkerCall.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/NettyWorkerCall.kt
@@ -101,7 +101,7 @@
     // Asked by the event loop as the last thing before it writes.
     private fun mayWrite(): Boolean {
         val nowMs = monotonicMs()
-        if (cancelled || !attempt.isNeeded(nowMs)) return false
+        if (cancelled || !attempt.maySend(nowMs)) return false
         attempt.times.writtenMs = nowMs
         return true
     }
--- a/endivestep/src/main/kotlin/org/endivestep/egress/WorkerResult.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/WorkerResult.kt
@@ -12,7 +12,7 @@
     /** No byte of the request was sent. */
     class NotSent(val cause: String) : WorkerResult
 
-    /** The deadline passed before a byte of the request was sent. */
+    /** The request was no longer needed, or not certainly, before a byte of it was sent. */
     data object Expired : WorkerResult
 
     /** The request may have reached the worker; its connection is closed and not reused. */
--- a/endivestep/src/main/kotlin/org/endivestep/exchange/AttemptRequest.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/exchange/AttemptRequest.kt
@@ -52,15 +52,19 @@
     val maxWaitMs: Long = Long.MAX_VALUE,
     /** Tells whether anybody still waits for the answer. */
     val cancellation: Cancellation = Cancellation(),
+    val lease: CallerLease = CallerLease.unlimited(),
     val times: AttemptTimes = AttemptTimes(),
 ) {
     init {
         require((body as? RequestBody.Streamed)?.isOpened != true) { "an attempt needs the whole body, and a part of it was read" }
     }
 
-    /** Whether the request may still be sent to a worker: somebody waits for its answer, and not only until [nowMs]. */
+    /** Whether the answer is still needed, as far as is known: nobody has cancelled the request, and its deadline is after [nowMs]. */
     fun isNeeded(nowMs: Long): Boolean = !cancellation.isCancelled && deadline.remainingMs(nowMs) > 0
 
+    /** Whether the request may be sent to a worker at [nowMs]: its answer is needed, and what is known of that is recent. */
+    fun maySend(nowMs: Long): Boolean = isNeeded(nowMs) && lease.isValid(nowMs)
+
     /** Returns this request with an inline body of more than [limit] bytes converted to a stream, which is sent only after admission. */
     fun withStreamedBody(limit: Int): AttemptRequest {
         val bytes = (body as? RequestBody.Inline)?.bytes
@@ -86,6 +90,7 @@
             rank,
             maxWaitMs,
             cancellation,
+            lease,
             times,
         )
 }
--- a/endivestep/src/main/kotlin/org/endivestep/http/HttpConnection.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/http/HttpConnection.kt
@@ -110,14 +110,14 @@
      * length; the connection must then be closed. A streamed body that is not sent within [bodyTimeoutMs], because its sender or
      * its receiver is too slow, is closed, and so is the connection.
      *
-     * The thread that writes may be late, so it asks [isStillNeeded] before it writes a request with an inline body;
-     * if that returns false, nothing is sent and the next event is [HttpResponseEvent.NotSent].
+     * The thread that writes may be late, so it asks [isStillNeeded] before it writes; if that returns false, nothing is sent and the next
+     * event is [HttpResponseEvent.NotSent].
      */
     fun send(head: HttpRequest, body: RequestBody, bodyTimeoutMs: Long = 0, isStillNeeded: () -> Boolean = { true }) {
         when (body) {
             is RequestBody.Inline -> channel.eventLoop().execute { if (isStillNeeded()) write(head, body) else skip() }
             is RequestBody.Streamed -> {
-                val started = channel.eventLoop().submit(Callable { start(head).also { channel.flush() } })
+                val started = channel.eventLoop().submit(Callable { if (isStillNeeded()) startAndFlush(head) else skip() })
                 if (started.await().now == true) BodyUpload(channel, body).send(bodyTimeoutMs)
             }
         }
@@ -136,13 +136,16 @@
         return true
     }
 
+    private fun startAndFlush(head: HttpRequest): Boolean = start(head).also { channel.flush() }
+
     private fun write(head: HttpRequest, body: RequestBody.Inline) {
         if (!start(head)) return
         channel.writeAndFlush(DefaultLastHttpContent(Unpooled.wrappedBuffer(body.bytes))).addListener(::onWritten)
     }
 
-    private fun skip() {
+    private fun skip(): Boolean {
         events.add(HttpResponseEvent.NotSent)
+        return false
     }
 
     // A failed write does not always close the connection, so it is reported here.
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/CallerConnection.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/CallerConnection.kt
@@ -1,6 +1,7 @@
 package org.endivestep.ingress
 
 import io.netty.buffer.ByteBufUtil
+import io.netty.channel.Channel
 import io.netty.channel.ChannelDuplexHandler
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelPromise
@@ -14,6 +15,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import org.endivestep.concurrent.LoopDelay
+import org.endivestep.concurrent.executeAfterReads
 import org.endivestep.document.CallerLimits
 import org.endivestep.exchange.monotonicMs
 import org.endivestep.outcome.HeaderField
@@ -73,7 +75,10 @@
             else -> {
                 if (HttpUtil.is100ContinueExpected(request)) context.writeAndFlush(continueResponse())
                 val declaredLength = HttpUtil.getContentLength(request, -1L)
-                receiving = ReceivedRequest(request, declaredLength, limits().bodyBytes, bodyMemory, readDelay.atRead(monotonicMs()))
+                receiving =
+                    ReceivedRequest(request, declaredLength, limits().bodyBytes, bodyMemory, readDelay.atRead(monotonicMs())) {
+                        lookForCaller(context.channel(), it)
+                    }
             }
         }
     }
@@ -116,6 +121,10 @@
         startAfterReads(context)
     }
 
+    // A close that has come is read first, unless the reading is paused.
+    private fun lookForCaller(channel: Channel, onPresent: () -> Unit) =
+        channel.eventLoop().executeAfterReads { if (channel.isActive) onPresent() }
+
     // The close of the connection may already have come behind the request, and is read before the task runs.
     private fun startAfterReads(context: ChannelHandlerContext) {
         if (startIsScheduled) return
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/CallerRequest.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/CallerRequest.kt
@@ -1,5 +1,6 @@
 package org.endivestep.ingress
 
+import org.endivestep.exchange.CallerLease
 import org.endivestep.exchange.Cancellation
 import org.endivestep.exchange.RequestBody
 import org.endivestep.outcome.HeaderField
@@ -17,6 +18,7 @@
     val readDelayMs: Long = 0,
     /** Tells whether the caller still waits for the answer. */
     val cancellation: Cancellation = Cancellation(),
+    val lease: CallerLease = CallerLease.unlimited(),
 ) {
     val path: String get() = target.substringBefore('?')
 
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
@@ -69,8 +69,11 @@
         hedging?.noteRequest(call)
         var attemptId = firstAttempt
         while (true) {
+            // What has come is read before a request is sent that waited here.
+            val isDelayed = !call.lease.renewIfOld()
             val windowMs = sendWindowMs(call)
-            refusal(call, windowMs)?.let { return history.outcome() ?: AttemptResult.NotRun(it) }
+            val refusal = if (isDelayed) NotRunReason.DELAYED else refusal(call, windowMs)
+            if (refusal != null) return history.outcome() ?: AttemptResult.NotRun(refusal)
             val route = chooseRoute(call, history) ?: return history.outcome() ?: AttemptResult.NotRun(NotRunReason.NO_WORKER)
             val repliedBefore = history.workerReplied
             val result = attemptOn(route, request(call, attemptId, minOf(maxWaitMs(call, history), windowMs)), call, history)
@@ -285,11 +288,13 @@
             rank = call.rank,
             maxWaitMs = maxWaitMs,
             cancellation = call.cancellation,
+            lease = call.lease,
         )
 
     private companion object {
         val noRerouting = RerouteSettings(maxReroutes = 0, maxWaitMs = Long.MAX_VALUE)
-        val reroutableReasons = unreachableReasons + setOf(NotRunReason.OVERLOADED, NotRunReason.QUEUE_TIMEOUT, NotRunReason.COLD)
+        val reroutableReasons =
+            unreachableReasons + setOf(NotRunReason.OVERLOADED, NotRunReason.QUEUE_TIMEOUT, NotRunReason.COLD, NotRunReason.DELAYED)
         const val AVOID_MS = 1_000L
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/IncomingCall.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/IncomingCall.kt
@@ -4,6 +4,7 @@
 import org.endivestep.document.Kind
 import org.endivestep.document.Service
 import org.endivestep.document.kindOf
+import org.endivestep.exchange.CallerLease
 import org.endivestep.exchange.Cancellation
 import org.endivestep.exchange.Deadline
 import org.endivestep.exchange.MAX_INLINE_BODY_BYTES
@@ -41,6 +42,7 @@
     val rank: RequestRank = RequestRank(),
     /** Tells whether the caller still waits for the answer. */
     val cancellation: Cancellation = Cancellation(),
+    val lease: CallerLease = CallerLease.unlimited(),
     /** When the caller sent the request, as far as that can be told. */
     val sentMs: Long = startMs,
 ) {
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/ReceivedRequest.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/ReceivedRequest.kt
@@ -4,6 +4,8 @@
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
+import org.endivestep.exchange.CallerLease
+import org.endivestep.exchange.CallerQuestion
 import org.endivestep.exchange.Cancellation
 import org.endivestep.exchange.RequestBody
 import org.endivestep.exchange.monotonicMs
@@ -14,7 +16,7 @@
 
 /**
  * A request whose body, of at most [maxBytes], is still being received; what is buffered of it is taken from [memory].
- * Its head may have waited in the socket for [readDelayMs].
+ * Its head may have waited in the socket for [readDelayMs]; [lookForCaller] tells whether its connection is open still.
  * Its methods must be called from the event loop of its connection, except [toRequest].
  */
 internal class ReceivedRequest(
@@ -23,12 +25,16 @@
     private val maxBytes: Long,
     private val memory: BodyMemory,
     private val readDelayMs: Long = 0,
+    lookForCaller: CallerQuestion = { onPresent -> onPresent() },
 ) {
     enum class BodyProgress { INCOMPLETE, READY, TOO_LONG, NO_MEMORY }
 
     /** Tells whether the caller still waits for the answer. */
     val cancellation = Cancellation()
     private val arrivedMs = monotonicMs()
+
+    // Whatever came before the request is read, so the caller had not left when it was read.
+    private val lease = CallerLease(arrivedMs) { onPresent -> lookForCaller { if (!cancellation.isCancelled) onPresent() } }
     private val buffered = ByteBlocks()
     private var stream: BodyQueue? = null
     private var total = 0L
@@ -86,6 +92,6 @@
     fun toRequest(): CallerRequest {
         val body = stream?.let { RequestBody.Streamed(it, length) } ?: RequestBody.Inline(buffered.toByteArray())
         val headers = head.headers().map { HeaderField(it.key, it.value) }
-        return CallerRequest(head.method().name(), head.uri(), headers, body, arrivedMs, readDelayMs, cancellation)
+        return CallerRequest(head.method().name(), head.uri(), headers, body, arrivedMs, readDelayMs, cancellation, lease)
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/RoutedIngress.kt
@@ -169,6 +169,7 @@
                 team = team?.name,
             ),
             cancellation = request.cancellation,
+            lease = request.lease,
             sentMs = sentMs(request, rule),
         )
     }
--- a/endivestep/src/main/kotlin/org/endivestep/outcome/Outcome.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/outcome/Outcome.kt
@@ -7,6 +7,9 @@
     OVERLOADED("overloaded"),
     QUEUE_TIMEOUT("queue-timeout"),
     DEADLINE_PASSED("deadline-passed"),
+
+    /** It could not be confirmed in time that the caller still waits, because a daemon is behind. */
+    DELAYED("delayed"),
     LEAVING("leaving"),
     DATA_CENTRE_OUT("data-centre-out"),
     QUARANTINED("quarantined"),
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeCall.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeCall.kt
@@ -8,6 +8,7 @@
 import io.grpc.Metadata
 import io.grpc.Status
 import org.endivestep.exchange.Deadline
+import org.endivestep.exchange.monotonicMs
 import org.endivestep.protocol.v1.AnswerFrame
 import org.endivestep.protocol.v1.ExchangesGrpc
 import org.endivestep.protocol.v1.RequestFrame
@@ -16,8 +17,18 @@
 import java.io.InputStream
 import java.util.concurrent.atomic.AtomicBoolean
 
-/** Client side of one exchange stream to another daemon, with blocking reads and writes under flow control, until [deadline]. */
-internal class ExchangeCall(channel: Channel, options: CallOptions, private val deadline: Deadline) {
+/**
+ * Client side of one exchange stream to another daemon, with blocking reads and writes under flow control, until [deadline]. The frames
+ * tell the time of [peerClock].
+ */
+internal class ExchangeCall(
+    channel: Channel,
+    options: CallOptions,
+    private val deadline: Deadline,
+    private val peerClock: PeerClock,
+    /** Called on the transport thread with the number of a question whether the caller still waits; must not block. */
+    private val onQuestion: (number: Long) -> Unit = { },
+) {
     private val created = AtomicBoolean()
     private val tracer =
         object : ClientStreamTracer.Factory() {
@@ -40,7 +51,13 @@
 
     private val listener =
         object : ClientCall.Listener<AnswerFrame>() {
-            override fun onMessage(message: AnswerFrame) = inbox.deliver(message)
+            override fun onMessage(message: AnswerFrame) {
+                if (message.hasQuestion()) peerClock.reset()
+                if (message.hasClockMs()) peerClock.note(message.clockMs, monotonicMs())
+                if (!message.hasQuestion()) return inbox.deliver(message)
+                call.request(1)
+                onQuestion(message.question.number)
+            }
 
             override fun onReady() = gate.signal()
 
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeClient.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeClient.kt
@@ -5,6 +5,7 @@
 import io.grpc.ManagedChannel
 import io.grpc.StatusRuntimeException
 import org.endivestep.exchange.AttemptRequest
+import org.endivestep.exchange.CallerLease
 import org.endivestep.exchange.RequestBody
 import org.endivestep.exchange.monotonicMs
 import org.endivestep.identity.DaemonIncarnation
@@ -13,6 +14,7 @@
 import org.endivestep.outcome.NotRunReason
 import org.endivestep.outcome.UnknownReason
 import org.endivestep.protocol.v1.AnswerFrame
+import org.endivestep.protocol.v1.Confirmation
 import org.endivestep.protocol.v1.ExchangesGrpc
 import org.endivestep.protocol.v1.FenceAnswer
 import org.endivestep.protocol.v1.FenceRequest
@@ -48,9 +50,11 @@
     fun attempt(peer: Peer, attempt: AttemptRequest): AttemptResult {
         val request = attempt.withStreamedBody(MAX_BODY_BEFORE_ADMISSION_BYTES)
         val channel = channels.next(peer)
-        val call = ExchangeCall(channel, CallOptions.DEFAULT, request.deadline)
+        val clock = channels.clock(peer.address)
+        val call = ExchangeCall(channel, CallOptions.DEFAULT, request.deadline, clock) { confirm(channel, request, question = it) }
         val sentMs = monotonicMs()
         try {
+            call.start(request.toHead(peer.incarnation, clock, monotonicMs()), streamsBody = request.body is RequestBody.Streamed)
             return exchange(peer, channel, call, request, sentMs)
         } catch (e: InterruptedException) {
             call.cancel("the calling thread was interrupted")
@@ -65,7 +69,6 @@
         request: AttemptRequest,
         sentMs: Long,
     ): AttemptResult {
-        call.start(request.toHead(peer.incarnation, monotonicMs()), streamsBody = request.body is RequestBody.Streamed)
         request.cancellation.onCancel { call.cancel("the caller has left") }
         val answerTimeoutMs = answerWaitMs(request.deadline)
         val received = call.next(minOf(answerTimeoutMs, admitTimeoutMs))
@@ -86,6 +89,18 @@
         }
     }
 
+    // Called on the transport thread. A caller that has left is not looked for; the call is cancelled instead.
+    private fun confirm(channel: ManagedChannel, request: AttemptRequest, question: Long) {
+        request.lease.askAnew {
+            if (request.cancellation.isCancelled) return@askAnew
+            val remainingMs = request.deadline.remainingMs(monotonicMs())
+            ExchangesGrpc
+                .newFutureStub(channel)
+                .withDeadlineAfter(CallerLease.DURATION_MS, TimeUnit.MILLISECONDS)
+                .confirm(Confirmation.newBuilder().setQuestion(question).setRemainingMs(remainingMs).build())
+        }
+    }
+
     /** Begins to send a streamed body; returns false, with the call cancelled, when no thread is free for it. */
     private fun upload(call: ExchangeCall, request: AttemptRequest): Boolean {
         val body = request.body as? RequestBody.Streamed ?: return true
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeServer.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeServer.kt
@@ -8,6 +8,8 @@
 import org.endivestep.identity.AttemptId
 import org.endivestep.identity.DaemonIncarnation
 import org.endivestep.protocol.v1.AnswerFrame
+import org.endivestep.protocol.v1.Confirmation
+import org.endivestep.protocol.v1.ConfirmationReceipt
 import org.endivestep.protocol.v1.ExchangesGrpc
 import org.endivestep.protocol.v1.FenceAnswer
 import org.endivestep.protocol.v1.FenceRequest
@@ -22,12 +24,14 @@
     private val runners: Executor,
     private val notices: AdmissionNotices,
 ) : ExchangesGrpc.ExchangesImplBase() {
+    private val questions = CallerQuestions()
+
     override fun exchange(responseObserver: StreamObserver<AnswerFrame>): StreamObserver<RequestFrame> {
         val stream = responseObserver as ServerCallStreamObserver<AnswerFrame>
         stream.disableAutoRequest()
         val inbox = FrameInbox<RequestFrame> { stream.request(1) }
         val gate = SendGate { stream.isReady || stream.isCancelled }
-        val run = ServedExchange(stream, inbox, gate, egress, incarnation, notices, CrossingDelay.ofCurrentCall)
+        val run = ServedExchange(stream, inbox, gate, egress, incarnation, notices, questions)
         stream.setOnReadyHandler(gate::signal)
         stream.setOnCancelHandler {
             gate.fail("the calling daemon cancelled the exchange")
@@ -38,6 +42,12 @@
         return receiver(inbox) { start(run, stream) }
     }
 
+    override fun confirm(request: Confirmation, responseObserver: StreamObserver<ConfirmationReceipt>) {
+        questions.answered(request.question, request.remainingMs)
+        responseObserver.onNext(ConfirmationReceipt.getDefaultInstance())
+        responseObserver.onCompleted()
+    }
+
     override fun fence(request: FenceRequest, responseObserver: StreamObserver<FenceAnswer>) {
         val state =
             if (request.daemonIncarnation != incarnation().text) {
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/PeerChannels.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/PeerChannels.kt
@@ -32,6 +32,10 @@
         private val nextIndex = AtomicInteger()
         private var incarnation: DaemonIncarnation? = null
 
+        @Volatile
+        var clock = PeerClock()
+            private set
+
         // Connections to an earlier run of the daemon are dead, and after a refused connection gRPC waits for a
         // second before it connects again, so both channels are replaced when the daemon has restarted.
         @Synchronized
@@ -48,6 +52,7 @@
         private fun reopen() {
             channels.forEach { it.shutdownNow() }
             channels.indices.forEach { channels[it] = open(address) }
+            clock = PeerClock()
         }
 
         @Synchronized
@@ -73,6 +78,9 @@
     /** Returns a connection to the incarnation that [peer] names; if that is a newer run, calls to the earlier run are cancelled. */
     fun next(peer: Peer): ManagedChannel = channelPair(peer.address).next(peer.incarnation)
 
+    /** Returns the clock of the run of [peer] to which the connections lead. */
+    fun clock(peer: Address): PeerClock = channelPair(peer).clock
+
     /** Returns a connection to [peer] that is not [channel]. */
     fun other(peer: Address, channel: ManagedChannel): ManagedChannel = channelPair(peer).other(channel)
 
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ServedExchange.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ServedExchange.kt
@@ -7,6 +7,7 @@
 import org.endivestep.egress.Egress
 import org.endivestep.exchange.AttemptRequest
 import org.endivestep.exchange.AttemptTimes
+import org.endivestep.exchange.CallerLease
 import org.endivestep.exchange.Cancellation
 import org.endivestep.exchange.Deadline
 import org.endivestep.exchange.RequestBody
@@ -25,9 +26,13 @@
 import org.endivestep.protocol.v1.Admitted
 import org.endivestep.protocol.v1.AnswerFrame
 import org.endivestep.protocol.v1.AnswerHead
+import org.endivestep.protocol.v1.Question
 import org.endivestep.protocol.v1.RequestFrame
 import org.endivestep.protocol.v1.RequestHead
 import java.io.IOException
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeoutException
 
 private val logger = KotlinLogging.logger {}
 
@@ -39,8 +44,7 @@
     private val egress: Egress,
     private val incarnation: () -> DaemonIncarnation,
     private val notices: AdmissionNotices,
-    /** Of the connection on which the attempt came, null when it is not known. */
-    private val crossingDelay: CrossingDelay?,
+    private val questions: CallerQuestions,
 ) : PendingNotice {
     override val arrivedMs = monotonicMs()
 
@@ -53,6 +57,7 @@
     // That of the request, once its head was received. Confined to the thread that serves the exchange.
     private var deadline = Deadline(arrivedMs + HEAD_TIMEOUT_MS)
     private var noticeIsNeeded = true
+    private var lastQuestion: Long? = null
 
     /** Ends the attempt, because its answer is no longer needed; one that has not been sent to the worker is not sent any more. */
     fun cancel() {
@@ -69,6 +74,7 @@
         } catch (e: Exception) {
             abort(e)
         } finally {
+            lastQuestion?.let(questions::withdraw)
             synchronized(this) {
                 runner = null
                 Thread.interrupted()
@@ -84,7 +90,12 @@
             finish(AttemptResult.NotRun(NotRunReason.OTHER_INCARNATION), head)
             return
         }
-        val request = request(head)
+        val sending = sendingOf(head)
+        if (sending == null) {
+            finish(AttemptResult.NotRun(NotRunReason.DELAYED), head)
+            return
+        }
+        val request = request(head, sending)
         deadline = request.deadline
         finish(egress.run(request) { admitted(head) }, head)
     }
@@ -99,7 +110,7 @@
         synchronized(noticeLock) {
             if (!noticeIsNeeded) return
             noticeIsNeeded = false
-            if (!stream.isCancelled) stream.onNext(admittedFrame)
+            if (!stream.isCancelled) pass(AnswerFrame.newBuilder().setAdmitted(Admitted.getDefaultInstance()))
         }
     }
 
@@ -107,8 +118,8 @@
         synchronized(noticeLock) { noticeIsNeeded = false }
         val frame = AnswerFrame.newBuilder()
         when (result) {
-            is AttemptResult.NotRun -> send(frame.setNotRun(result.toWire()).build())
-            is AttemptResult.Unknown -> send(frame.setUnknown(result.toWire()).build())
+            is AttemptResult.NotRun -> send(frame.setNotRun(result.toWire()))
+            is AttemptResult.Unknown -> send(frame.setUnknown(result.toWire()))
             is AttemptResult.Answered -> result.body.use { sendAnswer(result, head) }
         }
         stream.onCompleted()
@@ -127,22 +138,54 @@
         if (length <= MAX_INLINE_ANSWER_BYTES) {
             // A short answer is sent as one frame instead of three; the transport conveys its length.
             answer.setWhole(true).setInlineBody(UnsafeByteOperations.unsafeWrap(result.body.readWhole(length.toInt())))
-            send(AnswerFrame.newBuilder().setHead(answer).build())
+            send(AnswerFrame.newBuilder().setHead(answer))
             return
         }
-        send(AnswerFrame.newBuilder().setHead(answer).build())
+        send(AnswerFrame.newBuilder().setHead(answer))
         val sender =
             BodySender(
-                chunk = { send(AnswerFrame.newBuilder().setChunk(it).build()) },
-                end = { send(AnswerFrame.newBuilder().setEnd(it).build()) },
+                chunk = { send(AnswerFrame.newBuilder().setChunk(it)) },
+                end = { send(AnswerFrame.newBuilder().setEnd(it)) },
             )
         sender.send(result.body)
     }
 
-    // What is left of the request's time is counted from when its head was sent, as far as that can be told.
-    private fun request(head: RequestHead): AttemptRequest {
-        val waitedMs = if (head.hasSentMs()) crossingDelay?.waitedMs(head.sentMs, arrivedMs) else null
-        val sentMs = arrivedMs - (waitedMs ?: 0)
+    /** When the head of an attempt was sent or earlier, and what was known then of its request; times are on the clock of [monotonicMs]. */
+    private class Sending(val sentMs: Long, val remainingMs: Long, val leaseRenewedMs: Long, val isKnown: Boolean = true)
+
+    /**
+     * Returns what is known of the sending of [head]. A sender that cannot tell is asked, because the head may have waited for any time;
+     * if it does not answer, returns null.
+     */
+    private fun sendingOf(head: RequestHead): Sending? {
+        if (!head.confirms) return Sending(arrivedMs, head.remainingMs, leaseRenewedMs = CallerLease.FOREVER_MS, isKnown = false)
+        // A clock that was suspended makes the head seem to come from the future.
+        if (head.hasSentAtMs() && head.sentAtMs <= arrivedMs) {
+            return Sending(head.sentAtMs, head.remainingMs, head.sentAtMs - head.leaseAgeMs)
+        }
+        val askedMs = monotonicMs()
+        val answer = CompletableFuture<Long>()
+        ask(answer::complete)
+        return try {
+            Sending(askedMs, answer.get(CallerLease.DURATION_MS, TimeUnit.MILLISECONDS), askedMs, isKnown = false)
+        } catch (_: TimeoutException) {
+            null
+        }
+    }
+
+    private fun ask(onAnswer: (remainingMs: Long) -> Unit) {
+        lastQuestion?.let(questions::withdraw)
+        val number = questions.add(onAnswer)
+        lastQuestion = number
+        // A notice may be sent at the same time.
+        synchronized(noticeLock) {
+            if (!stream.isCancelled) pass(AnswerFrame.newBuilder().setQuestion(Question.newBuilder().setNumber(number)))
+        }
+    }
+
+    // What is left of the request's time is counted from when its head was sent, or from the question whether its caller still waits.
+    private fun request(head: RequestHead, sending: Sending): AttemptRequest {
+        val sentMs = sending.sentMs
         return AttemptRequest(
             requestId = RequestId(head.requestId),
             attemptId = AttemptId(head.attemptId),
@@ -152,12 +195,13 @@
             path = head.path,
             headers = head.headersList.toFields(),
             body = body(head),
-            deadline = Deadline(sentMs + head.remainingMs),
+            deadline = Deadline(sentMs + sending.remainingMs),
             fingerprint = Fingerprint(head.fingerprint),
             rank = RequestRank(head.priority, sentMs + head.objectiveMs, head.nested, head.repeated, team(head)),
             maxWaitMs = head.patienceMs,
             cancellation = cancellation,
-            times = AttemptTimes(arrivedMs, waitedMs),
+            lease = CallerLease(sending.leaseRenewedMs) { onPresent -> ask { onPresent() } },
+            times = AttemptTimes(arrivedMs, if (sending.isKnown) arrivedMs - sentMs else null),
         )
     }
 
@@ -177,12 +221,15 @@
             else -> BodyFrame.Failed("unexpected frame ${frame.frameCase}")
         }
 
-    private fun send(frame: AnswerFrame) {
+    private fun send(frame: AnswerFrame.Builder) {
         gate.await(transferWaitMs(deadline))
         if (stream.isCancelled) throw IOException("the calling daemon cancelled the exchange")
-        stream.onNext(frame)
+        pass(frame)
     }
 
+    // The sooner a frame is sent after its time is taken, the more that time proves.
+    private fun pass(frame: AnswerFrame.Builder) = stream.onNext(frame.setClockMs(monotonicMs()).build())
+
     private fun abort(cause: Exception) {
         if (stream.isCancelled) return
         logger.debug(cause) { "aborting the exchange with the calling daemon" }
@@ -190,7 +237,6 @@
     }
 
     private companion object {
-        val admittedFrame: AnswerFrame = AnswerFrame.newBuilder().setAdmitted(Admitted.getDefaultInstance()).build()
         const val HEAD_TIMEOUT_MS = 5_000L
         const val MAX_INLINE_ANSWER_BYTES = 16_384L
     }
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/WireCodec.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/WireCodec.kt
@@ -29,7 +29,8 @@
 
 internal fun List<Header>.toFields(): List<HeaderField> = map { HeaderField(it.name, it.value) }
 
-internal fun AttemptRequest.toHead(incarnation: DaemonIncarnation, nowMs: Long): RequestHead {
+/** Returns the head of this attempt for the daemon [incarnation], whose clock is [peerClock]. */
+internal fun AttemptRequest.toHead(incarnation: DaemonIncarnation, peerClock: PeerClock, nowMs: Long): RequestHead {
     val builder =
         RequestHead
             .newBuilder()
@@ -48,7 +49,9 @@
             .setPatienceMs(maxWaitMs)
             .setNested(rank.nested)
             .setRepeated(rank.repeated)
-            .setSentMs(nowMs)
+            .setLeaseAgeMs((nowMs - lease.renewedMs).coerceAtLeast(0))
+            .setConfirms(true)
+    peerClock.earliestMs(nowMs)?.let(builder::setSentAtMs)
     rank.team?.let { builder.setTeam(it.text) }
     when (val body = body) {
         is RequestBody.Inline -> builder.setInlineBody(UnsafeByteOperations.unsafeWrap(body.bytes))
--- a/endivestep/src/test/kotlin/org/endivestep/fakes/EgressFixture.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/fakes/EgressFixture.kt
@@ -15,6 +15,7 @@
 import org.endivestep.egress.noObserver
 import org.endivestep.egress.serviceAnswerInterpreter
 import org.endivestep.exchange.AttemptRequest
+import org.endivestep.exchange.CallerLease
 import org.endivestep.exchange.Deadline
 import org.endivestep.exchange.RequestBody
 import org.endivestep.exchange.monotonicMs
@@ -114,6 +115,7 @@
     body: RequestBody = RequestBody.Inline(ByteArray(0)),
     remainingMs: Long = 5_000,
     nowMs: Long = monotonicMs(),
+    lease: CallerLease = CallerLease.unlimited(),
 ) = AttemptRequest(
     requestId = RequestId("request"),
     attemptId = AttemptId(id),
@@ -125,4 +127,5 @@
     body = body,
     deadline = Deadline(nowMs + remainingMs),
     fingerprint = Fingerprint(fingerprint),
+    lease = lease,
 )
--- a/endivestep/src/test/kotlin/org/endivestep/fakes/WireFixture.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/fakes/WireFixture.kt
@@ -9,7 +9,6 @@
 import org.endivestep.exchange.monotonicMs
 import org.endivestep.identity.DaemonIncarnation
 import org.endivestep.protocol.AdmissionNotices
-import org.endivestep.protocol.CrossingDelay
 import org.endivestep.protocol.ExchangeClient
 import org.endivestep.protocol.ExchangeServer
 import org.endivestep.protocol.Peer
@@ -26,7 +25,7 @@
 private const val SECRET = "a secret of the tests"
 
 /** An egress behind a gRPC server, and a client that connects through a TCP proxy. */
-internal class WireFixture(val fixture: EgressFixture, secret: String = SECRET) : Closeable {
+internal class WireFixture(val fixture: EgressFixture, secret: String = SECRET, admitTimeoutMs: Long = ADMIT_TIMEOUT_MS) : Closeable {
     private val threads = Executors.newCachedThreadPool()
 
     /** Number of exchanges whose headers were received by the server. */
@@ -48,14 +47,13 @@
                     }
                 },
             )
-            .apply { CrossingDelay.measureOn(this) }
             .callExecutor(callExecutorSupplier(threads))
             .addService(ExchangeServer(fixture.egress, { incarnation }, threads, notices))
             .build()
             .start()
     val proxy = TcpProxy(server.port)
     val channels = PeerChannels(PeerAuthentication(secret))
-    val client = ExchangeClient(channels, threads, admitTimeoutMs = ADMIT_TIMEOUT_MS)
+    val client = ExchangeClient(channels, threads, admitTimeoutMs)
     val peer = Peer(Address("127.0.0.1", proxy.port), incarnation)
 
     override fun close() {
--- a/endivestep/src/test/kotlin/org/endivestep/fakes/WorkerCallFixture.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/fakes/WorkerCallFixture.kt
@@ -7,6 +7,7 @@
 import org.endivestep.egress.WorkerResult
 import org.endivestep.egress.nettyWorkerCall
 import org.endivestep.exchange.AttemptRequest
+import org.endivestep.exchange.CallerLease
 import org.endivestep.exchange.Deadline
 import org.endivestep.exchange.MessageHeaders
 import org.endivestep.exchange.RequestBody
@@ -44,6 +45,7 @@
     remainingMs: Long = 2_000,
     method: String = "GET",
     body: RequestBody = RequestBody.Inline(ByteArray(0)),
+    lease: CallerLease = CallerLease.unlimited(),
 ) = AttemptRequest(
     requestId = RequestId(id),
     attemptId = AttemptId("attempt-$id"),
@@ -55,6 +57,7 @@
     body = body,
     deadline = Deadline(monotonicMs() + remainingMs),
     fingerprint = Fingerprint("print"),
+    lease = lease,
 )
 
 /** Longest time in ms for which a body is read. */
--- a/endivestep/src/test/kotlin/org/endivestep/ingress/DepartedCallerTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/ingress/DepartedCallerTest.kt
@@ -4,16 +4,22 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.shouldBe
+import org.endivestep.exchange.CallerLease
 import org.endivestep.fakes.CallerServerFixture
 import java.net.Socket
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 
 private const val CALLERS = 20
 
 // Long enough for a handler that was started to record its request.
 private const val HANDLER_START_MS = 300L
 
+// Long enough for a handler to ask, and shorter than it waits for the answer.
+private const val STALL_MS = 100L
+
 private fun reply() = CallerReply(200, emptyList(), "whole".byteInputStream(), 5)
 
 private fun get(path: String) = "GET $path HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -52,6 +58,36 @@
             }
         }
 
+        // Guards against an answer about the caller that is older than its question (issue 54).
+        test("a server that is asked whether a caller waits reads first what has come") {
+            class Case(val name: String, val leaves: Boolean)
+            listOf(Case("a caller that waits", leaves = false), Case("a caller that leaves", leaves = true)).forEach { case ->
+                val started = CountDownLatch(1)
+                val ask = CountDownLatch(1)
+                val renewed = CompletableFuture<Boolean>()
+                CallerServerFixture({ request ->
+                    started.countDown()
+                    // The handler goes on when it is interrupted, as one that lacks processor time does.
+                    while (ask.count > 0) runCatching { ask.await() }
+                    renewed.complete(runCatching { request.lease.renewIfOld() }.getOrDefault(false))
+                    reply()
+                }).use { server ->
+                    val socket = server.connect()
+                    socket.getOutputStream().write(get("/a").toByteArray())
+                    started.await()
+                    Thread.sleep(CallerLease.DURATION_MS)
+                    val release = CountDownLatch(1)
+                    server.stall(release)
+                    if (case.leaves) socket.close()
+                    ask.countDown()
+                    Thread.sleep(STALL_MS)
+                    release.countDown()
+                    withClue(case.name) { renewed.get(5, TimeUnit.SECONDS) shouldBe !case.leaves }
+                    socket.close()
+                }
+            }
+        }
+
         test("a request whose caller still waits runs, however late the server reads it") {
             CallerServerFixture({ reply() }).use { server ->
                 val release = CountDownLatch(1)
--- a/endivestep/src/test/kotlin/org/endivestep/protocol/DepartedCallerWireTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/protocol/DepartedCallerWireTest.kt
@@ -1,11 +1,13 @@
 package org.endivestep.protocol
 
 import io.kotest.assertions.throwables.shouldThrow
+import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.longs.shouldBeInRange
 import io.kotest.matchers.shouldBe
 import org.endivestep.egress.WorkerCall
 import org.endivestep.exchange.AttemptRequest
+import org.endivestep.exchange.CallerLease
 import org.endivestep.exchange.monotonicMs
 import org.endivestep.fakes.EgressFixture
 import org.endivestep.fakes.LinkFault
@@ -13,14 +15,15 @@
 import org.endivestep.fakes.answering
 import org.endivestep.fakes.sampleAttempt
 import org.endivestep.outcome.AttemptResult
+import org.endivestep.outcome.NotRunReason
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.ExecutionException
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 
-private const val CROSSING_MS = 150L
 private const val DEADLINE_MS = 2_000L
+private const val OLD_LEASE_MS = 2 * CallerLease.DURATION_MS
 
 /** Of the times in whole ms that are compared. */
 private const val ROUNDING_MS = 3L
@@ -34,28 +37,58 @@
 
 class DepartedCallerWireTest :
     FunSpec({
-        // Guards against a deadline that starts anew at the worker's daemon, however long the request was on its way.
-        test("the time that a request waits between two daemons counts against its deadline") {
+        // Guards against a deadline that starts anew at the worker's daemon, however long the request was on its way (issue 54).
+        test("the time that a request waits between two daemons counts against its deadline, also on a new connection") {
+            class Case(val name: String, val earlierRequests: Int, val crossingMs: Long)
             val arrivals = LinkedBlockingQueue<Arrival>()
             val worker: WorkerCall = { local, request ->
                 val nowMs = monotonicMs()
                 arrivals += Arrival(nowMs, request.deadline.remainingMs(nowMs))
                 answering()(local, request)
             }
-            WireFixture(EgressFixture(worker = worker)).use { wire ->
-                fun send(id: String): SentRequest {
-                    val sentMs = monotonicMs()
-                    wire.client.attempt(wire.peer, sampleAttempt(id, remainingMs = DEADLINE_MS, nowMs = sentMs)).close()
-                    val arrival = arrivals.poll(5, TimeUnit.SECONDS)!!
-                    return SentRequest(arrival.atMs - sentMs, arrival.remainingMs)
+            listOf(
+                // Before it there are messages that open the connection, and each of them takes as long.
+                Case("the first request", earlierRequests = 0, crossingMs = 40),
+                Case("a later request", earlierRequests = 4, crossingMs = 150),
+            ).forEach { case ->
+                WireFixture(EgressFixture(worker = worker), admitTimeoutMs = DEADLINE_MS).use { wire ->
+                    fun send(id: String): SentRequest {
+                        val sentMs = monotonicMs()
+                        wire.client.attempt(wire.peer, sampleAttempt(id, remainingMs = DEADLINE_MS, nowMs = sentMs)).close()
+                        val arrival = arrivals.poll(5, TimeUnit.SECONDS)!!
+                        return SentRequest(arrival.atMs - sentMs, arrival.remainingMs)
+                    }
+                    repeat(case.earlierRequests) { send("calm-$it") }
+                    wire.proxy.fault = LinkFault(delayMs = case.crossingMs)
+                    val late = send("late")
+                    // What is counted beyond the true wait is at most the way of a question and of its answer.
+                    val leastMs = DEADLINE_MS - 2 * late.wayMs - ROUNDING_MS
+                    withClue(case.name) { late.remainingMs shouldBeInRange leastMs..DEADLINE_MS - late.wayMs + ROUNDING_MS }
+                }
+            }
+        }
+
+        // Guards against a request that runs because nothing is known of how long it was on its way (issue 54).
+        test("a request is run only if its caller is known to wait, or its sender confirms it") {
+            class Case(val name: String, val leaseAgeMs: Long, val confirms: Boolean, val earlierRequests: Int, val runs: Boolean)
+            listOf(
+                Case("a new lease on a new connection", 0, confirms = true, earlierRequests = 0, runs = true),
+                Case("an unconfirmed lease on a new connection", 0, confirms = false, earlierRequests = 0, runs = false),
+                Case("a new lease on a used connection", 0, confirms = false, earlierRequests = 1, runs = true),
+                Case("an old lease", OLD_LEASE_MS, confirms = true, earlierRequests = 1, runs = true),
+                Case("an old lease that is not confirmed", OLD_LEASE_MS, confirms = false, earlierRequests = 1, runs = false),
+            ).forEach { case ->
+                val fixture = EgressFixture(worker = answering())
+                WireFixture(fixture, admitTimeoutMs = 2_000).use { wire ->
+                    repeat(case.earlierRequests) { wire.client.attempt(wire.peer, sampleAttempt("earlier-$it")).close() }
+                    val lease = CallerLease(monotonicMs() - case.leaseAgeMs) { onPresent -> if (case.confirms) onPresent() }
+                    val result = wire.client.attempt(wire.peer, sampleAttempt("last", lease = lease))
+                    withClue(case.name) {
+                        (result as? AttemptResult.NotRun)?.reason shouldBe NotRunReason.DELAYED.takeUnless { case.runs }
+                        fixture.runs.get() shouldBe case.earlierRequests + if (case.runs) 1 else 0
+                    }
+                    result.close()
                 }
-                // Each of the two connections to a peer learns its usual delay, which is at most the time of its last calm request.
-                val calm = (1..4).map { send("calm-$it") }
-                val usualMs = calm.takeLast(2).maxOf { it.wayMs }
-                wire.proxy.fault = LinkFault(delayMs = CROSSING_MS)
-                val late = send("late")
-                val mostMs = DEADLINE_MS - CROSSING_MS + usualMs + ROUNDING_MS
-                late.remainingMs shouldBeInRange DEADLINE_MS - late.wayMs - ROUNDING_MS..mostMs
             }
         }
 
--- a/endivestep/src/test/kotlin/org/endivestep/protocol/ExchangeWireTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/protocol/ExchangeWireTest.kt
@@ -76,9 +76,10 @@
                     answering()(local, request)
                 }
                 WireFixture(EgressFixture(worker = worker)).use { wire ->
-                    // Connected first, so that a short deadline is not spent on connecting.
-                    wire.client.attempt(wire.peer, sampleAttempt("first", remainingMs = 10_000)).let {
-                        (it as? AttemptResult.Answered)?.body?.close()
+                    // Sent first, so that a short deadline is not spent on connecting, nor on what is not known of the way to the peer.
+                    repeat(2) {
+                        val first = wire.client.attempt(wire.peer, sampleAttempt("first-$it", remainingMs = 10_000))
+                        (first as? AttemptResult.Answered)?.body?.close()
                     }
                     val channel = wire.channels.next(wire.peer)
                     val result = wire.client.attempt(wire.peer, sampleAttempt("second", remainingMs = case.deadlineMs))
@@ -100,8 +101,8 @@
                 val release = CountDownLatch(1)
                 val channel = wire.channels.next(wire.peer)
                 stallTransport(channel, release)
-                val call = ExchangeCall(channel, CallOptions.DEFAULT, sampleAttempt("late").deadline)
-                call.start(sampleAttempt("late").toHead(WireFixture.incarnation, monotonicMs()), streamsBody = false)
+                val call = ExchangeCall(channel, CallOptions.DEFAULT, sampleAttempt("late").deadline, PeerClock())
+                call.start(sampleAttempt("late").toHead(WireFixture.incarnation, PeerClock(), monotonicMs()), streamsBody = false)
                 call.cancel("not admitted within the timeout")
                 val wasSent = call.wasSent
                 release.countDown()
--- a/protocol/src/main/java/org/endivestep/protocol/v1/AnswerFrame.java
+++ b/protocol/src/main/java/org/endivestep/protocol/v1/AnswerFrame.java
@@ -43,6 +43,7 @@
             org.endivestep.protocol.v1.AnswerFrame.class, org.endivestep.protocol.v1.AnswerFrame.Builder.class);
   }
 
+  private int bitField0_;
   private int frameCase_ = 0;
   @SuppressWarnings("serial")
   private java.lang.Object frame_;
@@ -55,6 +56,7 @@
     HEAD(4),
     CHUNK(5),
     END(6),
+    QUESTION(7),
     FRAME_NOT_SET(0);
     private final int value;
     private FrameCase(int value) {
@@ -78,6 +80,7 @@
         case 4: return HEAD;
         case 5: return CHUNK;
         case 6: return END;
+        case 7: return QUESTION;
         case 0: return FRAME_NOT_SET;
         default: return null;
       }
@@ -279,6 +282,64 @@
     return org.endivestep.protocol.v1.BodyEnd.getDefaultInstance();
   }
 
+  public static final int QUESTION_FIELD_NUMBER = 7;
+  /**
+   * <code>.endivestep.v1.Question question = 7;</code>
+   * @return Whether the question field is set.
+   */
+  @java.lang.Override
+  public boolean hasQuestion() {
+    return frameCase_ == 7;
+  }
+  /**
+   * <code>.endivestep.v1.Question question = 7;</code>
+   * @return The question.
+   */
+  @java.lang.Override
+  public org.endivestep.protocol.v1.Question getQuestion() {
+    if (frameCase_ == 7) {
+       return (org.endivestep.protocol.v1.Question) frame_;
+    }
+    return org.endivestep.protocol.v1.Question.getDefaultInstance();
+  }
+  /**
+   * <code>.endivestep.v1.Question question = 7;</code>
+   */
+  @java.lang.Override
+  public org.endivestep.protocol.v1.QuestionOrBuilder getQuestionOrBuilder() {
+    if (frameCase_ == 7) {
+       return (org.endivestep.protocol.v1.Question) frame_;
+    }
+    return org.endivestep.protocol.v1.Question.getDefaultInstance();
+  }
+
+  public static final int CLOCK_MS_FIELD_NUMBER = 8;
+  private long clockMs_ = 0L;
+  /**
+   * <pre>
+   * When the frame was made, in ms of the sender's monotonic clock.
+   * </pre>
+   *
+   * <code>optional int64 clock_ms = 8;</code>
+   * @return Whether the clockMs field is set.
+   */
+  @java.lang.Override
+  public boolean hasClockMs() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * When the frame was made, in ms of the sender's monotonic clock.
+   * </pre>
+   *
+   * <code>optional int64 clock_ms = 8;</code>
+   * @return The clockMs.
+   */
+  @java.lang.Override
+  public long getClockMs() {
+    return clockMs_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -311,6 +372,12 @@
     if (frameCase_ == 6) {
       output.writeMessage(6, (org.endivestep.protocol.v1.BodyEnd) frame_);
     }
+    if (frameCase_ == 7) {
+      output.writeMessage(7, (org.endivestep.protocol.v1.Question) frame_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeInt64(8, clockMs_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -344,6 +411,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(6, (org.endivestep.protocol.v1.BodyEnd) frame_);
     }
+    if (frameCase_ == 7) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(7, (org.endivestep.protocol.v1.Question) frame_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(8, clockMs_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -359,6 +434,11 @@
     }
     org.endivestep.protocol.v1.AnswerFrame other = (org.endivestep.protocol.v1.AnswerFrame) obj;
 
+    if (hasClockMs() != other.hasClockMs()) return false;
+    if (hasClockMs()) {
+      if (getClockMs()
+          != other.getClockMs()) return false;
+    }
     if (!getFrameCase().equals(other.getFrameCase())) return false;
     switch (frameCase_) {
       case 1:
@@ -385,6 +465,10 @@
         if (!getEnd()
             .equals(other.getEnd())) return false;
         break;
+      case 7:
+        if (!getQuestion()
+            .equals(other.getQuestion())) return false;
+        break;
       case 0:
       default:
     }
@@ -399,6 +483,11 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
+    if (hasClockMs()) {
+      hash = (37 * hash) + CLOCK_MS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getClockMs());
+    }
     switch (frameCase_) {
       case 1:
         hash = (37 * hash) + ADMITTED_FIELD_NUMBER;
@@ -424,6 +513,10 @@
         hash = (37 * hash) + END_FIELD_NUMBER;
         hash = (53 * hash) + getEnd().hashCode();
         break;
+      case 7:
+        hash = (37 * hash) + QUESTION_FIELD_NUMBER;
+        hash = (53 * hash) + getQuestion().hashCode();
+        break;
       case 0:
       default:
     }
@@ -576,6 +669,10 @@
       if (endBuilder_ != null) {
         endBuilder_.clear();
       }
+      if (questionBuilder_ != null) {
+        questionBuilder_.clear();
+      }
+      clockMs_ = 0L;
       frameCase_ = 0;
       frame_ = null;
       return this;
@@ -612,6 +709,12 @@
 
     private void buildPartial0(org.endivestep.protocol.v1.AnswerFrame result) {
       int from_bitField0_ = bitField0_;
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.clockMs_ = clockMs_;
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     private void buildPartialOneofs(org.endivestep.protocol.v1.AnswerFrame result) {
@@ -641,6 +744,10 @@
           endBuilder_ != null) {
         result.frame_ = endBuilder_.build();
       }
+      if (frameCase_ == 7 &&
+          questionBuilder_ != null) {
+        result.frame_ = questionBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -655,6 +762,9 @@
 
     public Builder mergeFrom(org.endivestep.protocol.v1.AnswerFrame other) {
       if (other == org.endivestep.protocol.v1.AnswerFrame.getDefaultInstance()) return this;
+      if (other.hasClockMs()) {
+        setClockMs(other.getClockMs());
+      }
       switch (other.getFrameCase()) {
         case ADMITTED: {
           mergeAdmitted(other.getAdmitted());
@@ -680,6 +790,10 @@
           mergeEnd(other.getEnd());
           break;
         }
+        case QUESTION: {
+          mergeQuestion(other.getQuestion());
+          break;
+        }
         case FRAME_NOT_SET: {
           break;
         }
@@ -752,6 +866,18 @@
               frameCase_ = 6;
               break;
             } // case 50
+            case 58: {
+              input.readMessage(
+                  internalGetQuestionFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              frameCase_ = 7;
+              break;
+            } // case 58
+            case 64: {
+              clockMs_ = input.readInt64();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1636,6 +1762,204 @@
       return endBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.endivestep.protocol.v1.Question, org.endivestep.protocol.v1.Question.Builder, org.endivestep.protocol.v1.QuestionOrBuilder> questionBuilder_;
+    /**
+     * <code>.endivestep.v1.Question question = 7;</code>
+     * @return Whether the question field is set.
+     */
+    @java.lang.Override
+    public boolean hasQuestion() {
+      return frameCase_ == 7;
+    }
+    /**
+     * <code>.endivestep.v1.Question question = 7;</code>
+     * @return The question.
+     */
+    @java.lang.Override
+    public org.endivestep.protocol.v1.Question getQuestion() {
+      if (questionBuilder_ == null) {
+        if (frameCase_ == 7) {
+          return (org.endivestep.protocol.v1.Question) frame_;
+        }
+        return org.endivestep.protocol.v1.Question.getDefaultInstance();
+      } else {
+        if (frameCase_ == 7) {
+          return questionBuilder_.getMessage();
+        }
+        return org.endivestep.protocol.v1.Question.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.endivestep.v1.Question question = 7;</code>
+     */
+    public Builder setQuestion(org.endivestep.protocol.v1.Question value) {
+      if (questionBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        frame_ = value;
+        onChanged();
+      } else {
+        questionBuilder_.setMessage(value);
+      }
+      frameCase_ = 7;
+      return this;
+    }
+    /**
+     * <code>.endivestep.v1.Question question = 7;</code>
+     */
+    public Builder setQuestion(
+        org.endivestep.protocol.v1.Question.Builder builderForValue) {
+      if (questionBuilder_ == null) {
+        frame_ = builderForValue.build();
+        onChanged();
+      } else {
+        questionBuilder_.setMessage(builderForValue.build());
+      }
+      frameCase_ = 7;
+      return this;
+    }
+    /**
+     * <code>.endivestep.v1.Question question = 7;</code>
+     */
+    public Builder mergeQuestion(org.endivestep.protocol.v1.Question value) {
+      if (questionBuilder_ == null) {
+        if (frameCase_ == 7 &&
+            frame_ != org.endivestep.protocol.v1.Question.getDefaultInstance()) {
+          frame_ = org.endivestep.protocol.v1.Question.newBuilder((org.endivestep.protocol.v1.Question) frame_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          frame_ = value;
+        }
+        onChanged();
+      } else {
+        if (frameCase_ == 7) {
+          questionBuilder_.mergeFrom(value);
+        } else {
+          questionBuilder_.setMessage(value);
+        }
+      }
+      frameCase_ = 7;
+      return this;
+    }
+    /**
+     * <code>.endivestep.v1.Question question = 7;</code>
+     */
+    public Builder clearQuestion() {
+      if (questionBuilder_ == null) {
+        if (frameCase_ == 7) {
+          frameCase_ = 0;
+          frame_ = null;
+          onChanged();
+        }
+      } else {
+        if (frameCase_ == 7) {
+          frameCase_ = 0;
+          frame_ = null;
+        }
+        questionBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.endivestep.v1.Question question = 7;</code>
+     */
+    public org.endivestep.protocol.v1.Question.Builder getQuestionBuilder() {
+      return internalGetQuestionFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.endivestep.v1.Question question = 7;</code>
+     */
+    @java.lang.Override
+    public org.endivestep.protocol.v1.QuestionOrBuilder getQuestionOrBuilder() {
+      if ((frameCase_ == 7) && (questionBuilder_ != null)) {
+        return questionBuilder_.getMessageOrBuilder();
+      } else {
+        if (frameCase_ == 7) {
+          return (org.endivestep.protocol.v1.Question) frame_;
+        }
+        return org.endivestep.protocol.v1.Question.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.endivestep.v1.Question question = 7;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.endivestep.protocol.v1.Question, org.endivestep.protocol.v1.Question.Builder, org.endivestep.protocol.v1.QuestionOrBuilder> 
+        internalGetQuestionFieldBuilder() {
+      if (questionBuilder_ == null) {
+        if (!(frameCase_ == 7)) {
+          frame_ = org.endivestep.protocol.v1.Question.getDefaultInstance();
+        }
+        questionBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.endivestep.protocol.v1.Question, org.endivestep.protocol.v1.Question.Builder, org.endivestep.protocol.v1.QuestionOrBuilder>(
+                (org.endivestep.protocol.v1.Question) frame_,
+                getParentForChildren(),
+                isClean());
+        frame_ = null;
+      }
+      frameCase_ = 7;
+      onChanged();
+      return questionBuilder_;
+    }
+
+    private long clockMs_ ;
+    /**
+     * <pre>
+     * When the frame was made, in ms of the sender's monotonic clock.
+     * </pre>
+     *
+     * <code>optional int64 clock_ms = 8;</code>
+     * @return Whether the clockMs field is set.
+     */
+    @java.lang.Override
+    public boolean hasClockMs() {
+      return ((bitField0_ & 0x00000080) != 0);
+    }
+    /**
+     * <pre>
+     * When the frame was made, in ms of the sender's monotonic clock.
+     * </pre>
+     *
+     * <code>optional int64 clock_ms = 8;</code>
+     * @return The clockMs.
+     */
+    @java.lang.Override
+    public long getClockMs() {
+      return clockMs_;
+    }
+    /**
+     * <pre>
+     * When the frame was made, in ms of the sender's monotonic clock.
+     * </pre>
+     *
+     * <code>optional int64 clock_ms = 8;</code>
+     * @param value The clockMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setClockMs(long value) {
+
+      clockMs_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * When the frame was made, in ms of the sender's monotonic clock.
+     * </pre>
+     *
+     * <code>optional int64 clock_ms = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearClockMs() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      clockMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:endivestep.v1.AnswerFrame)
   }
 
--- a/protocol/src/main/java/org/endivestep/protocol/v1/AnswerFrameOrBuilder.java
+++ b/protocol/src/main/java/org/endivestep/protocol/v1/AnswerFrameOrBuilder.java
@@ -100,5 +100,39 @@
    */
   org.endivestep.protocol.v1.BodyEndOrBuilder getEndOrBuilder();
 
+  /**
+   * <code>.endivestep.v1.Question question = 7;</code>
+   * @return Whether the question field is set.
+   */
+  boolean hasQuestion();
+  /**
+   * <code>.endivestep.v1.Question question = 7;</code>
+   * @return The question.
+   */
+  org.endivestep.protocol.v1.Question getQuestion();
+  /**
+   * <code>.endivestep.v1.Question question = 7;</code>
+   */
+  org.endivestep.protocol.v1.QuestionOrBuilder getQuestionOrBuilder();
+
+  /**
+   * <pre>
+   * When the frame was made, in ms of the sender's monotonic clock.
+   * </pre>
+   *
+   * <code>optional int64 clock_ms = 8;</code>
+   * @return Whether the clockMs field is set.
+   */
+  boolean hasClockMs();
+  /**
+   * <pre>
+   * When the frame was made, in ms of the sender's monotonic clock.
+   * </pre>
+   *
+   * <code>optional int64 clock_ms = 8;</code>
+   * @return The clockMs.
+   */
+  long getClockMs();
+
   org.endivestep.protocol.v1.AnswerFrame.FrameCase getFrameCase();
 }
--- a/protocol/src/main/java/org/endivestep/protocol/v1/Endivestep.java
+++ b/protocol/src/main/java/org/endivestep/protocol/v1/Endivestep.java
@@ -56,6 +56,21 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_endivestep_v1_AnswerFrame_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_endivestep_v1_Question_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_endivestep_v1_Question_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_endivestep_v1_Confirmation_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_endivestep_v1_Confirmation_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_endivestep_v1_ConfirmationReceipt_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_endivestep_v1_ConfirmationReceipt_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_endivestep_v1_LoadReport_descriptor;
   static final 
@@ -235,7 +250,7 @@
       "uestFrame\022*\n\004head\030\001 \001(\0132\032.endivestep.v1." +
       "RequestHeadH\000\022)\n\005chunk\030\002 \001(\0132\030.endiveste" +
       "p.v1.BodyChunkH\000\022%\n\003end\030\003 \001(\0132\026.endivest" +
-      "ep.v1.BodyEndH\000B\007\n\005frame\"\350\003\n\013RequestHead" +
+      "ep.v1.BodyEndH\000B\007\n\005frame\"\234\004\n\013RequestHead" +
       "\022\022\n\nrequest_id\030\001 \001(\t\022\022\n\nattempt_id\030\002 \001(\t" +
       "\022\017\n\007service\030\003 \001(\t\022\014\n\004kind\030\004 \001(\t\022\016\n\006metho" +
       "d\030\005 \001(\t\022\014\n\004path\030\006 \001(\t\022&\n\007headers\030\007 \003(\0132\025" +
@@ -246,18 +261,24 @@
       "\025configuration_version\030\016 \001(\003\022\020\n\010priority" +
       "\030\017 \001(\005\022\024\n\014objective_ms\030\020 \001(\003\022\023\n\013patience" +
       "_ms\030\021 \001(\003\022\016\n\006nested\030\022 \001(\010\022\020\n\010repeated\030\023 " +
-      "\001(\010\022\024\n\007sent_ms\030\024 \001(\003H\000\210\001\001\022\014\n\004team\030\025 \001(\t\022" +
-      "\026\n\016worker_version\030\026 \001(\tB\n\n\010_sent_ms\")\n\tB" +
-      "odyChunk\022\r\n\005index\030\001 \001(\005\022\r\n\005bytes\030\002 \001(\014\";" +
-      "\n\007BodyEnd\022\016\n\006frames\030\001 \001(\005\022\016\n\006length\030\002 \001(" +
-      "\003\022\020\n\010checksum\030\003 \001(\r\"\225\002\n\013AnswerFrame\022+\n\010a" +
-      "dmitted\030\001 \001(\0132\027.endivestep.v1.AdmittedH\000" +
-      "\022(\n\007not_run\030\002 \001(\0132\025.endivestep.v1.NotRun" +
-      "H\000\022)\n\007unknown\030\003 \001(\0132\026.endivestep.v1.Unkn" +
-      "ownH\000\022)\n\004head\030\004 \001(\0132\031.endivestep.v1.Answ" +
-      "erHeadH\000\022)\n\005chunk\030\005 \001(\0132\030.endivestep.v1." +
-      "BodyChunkH\000\022%\n\003end\030\006 \001(\0132\026.endivestep.v1" +
-      ".BodyEndH\000B\007\n\005frame\"Y\n\nLoadReport\022\021\n\tin_" +
+      "\001(\010\022\014\n\004team\030\025 \001(\t\022\026\n\016worker_version\030\026 \001(" +
+      "\t\022\027\n\nsent_at_ms\030\027 \001(\003H\000\210\001\001\022\024\n\014lease_age_" +
+      "ms\030\030 \001(\003\022\020\n\010confirms\030\031 \001(\010B\r\n\013_sent_at_m" +
+      "sJ\004\010\024\020\025\")\n\tBodyChunk\022\r\n\005index\030\001 \001(\005\022\r\n\005b" +
+      "ytes\030\002 \001(\014\";\n\007BodyEnd\022\016\n\006frames\030\001 \001(\005\022\016\n" +
+      "\006length\030\002 \001(\003\022\020\n\010checksum\030\003 \001(\r\"\346\002\n\013Answ" +
+      "erFrame\022+\n\010admitted\030\001 \001(\0132\027.endivestep.v" +
+      "1.AdmittedH\000\022(\n\007not_run\030\002 \001(\0132\025.endivest" +
+      "ep.v1.NotRunH\000\022)\n\007unknown\030\003 \001(\0132\026.endive" +
+      "step.v1.UnknownH\000\022)\n\004head\030\004 \001(\0132\031.endive" +
+      "step.v1.AnswerHeadH\000\022)\n\005chunk\030\005 \001(\0132\030.en" +
+      "divestep.v1.BodyChunkH\000\022%\n\003end\030\006 \001(\0132\026.e" +
+      "ndivestep.v1.BodyEndH\000\022+\n\010question\030\007 \001(\013" +
+      "2\027.endivestep.v1.QuestionH\000\022\025\n\010clock_ms\030" +
+      "\010 \001(\003H\001\210\001\001B\007\n\005frameB\013\n\t_clock_ms\"\032\n\010Ques" +
+      "tion\022\016\n\006number\030\001 \001(\003\"6\n\014Confirmation\022\020\n\010" +
+      "question\030\001 \001(\003\022\024\n\014remaining_ms\030\002 \001(\003\"\025\n\023" +
+      "ConfirmationReceipt\"Y\n\nLoadReport\022\021\n\tin_" +
       "flight\030\001 \001(\005\022\r\n\005limit\030\002 \001(\005\022\017\n\007waiting\030\003" +
       " \001(\005\022\030\n\020slowness_percent\030\004 \001(\005\"S\n\nLoadNo" +
       "tice\022\n\n\002vm\030\001 \001(\t\022\'\n\004load\030\002 \001(\0132\031.endives" +
@@ -360,19 +381,21 @@
       "\025.endivestep.v1.Member\">\n\rSignInRefusal\022" +
       "\014\n\004name\030\001 \001(\t\022\016\n\006source\030\002 \001(\t\022\017\n\007time_ms" +
       "\030\003 \001(\003\"C\n\021SignInRefusalList\022.\n\010refusals\030" +
-      "\001 \003(\0132\034.endivestep.v1.SignInRefusal2\226\001\n\t" +
+      "\001 \003(\0132\034.endivestep.v1.SignInRefusal2\342\001\n\t" +
       "Exchanges\022G\n\010Exchange\022\033.endivestep.v1.Re" +
       "questFrame\032\032.endivestep.v1.AnswerFrame(\001" +
-      "0\001\022@\n\005Fence\022\033.endivestep.v1.FenceRequest" +
-      "\032\032.endivestep.v1.FenceAnswer2\200\002\n\007Control" +
-      "\022]\n\022FetchConfiguration\022#.endivestep.v1.C" +
-      "onfigurationRequest\032\".endivestep.v1.Conf" +
-      "igurationRecord\022M\n\013Synchronize\022\036.endives" +
-      "tep.v1.MembershipState\032\036.endivestep.v1.M" +
-      "embershipState\022G\n\014ReadCounters\022\036.endives" +
-      "tep.v1.CountersRequest\032\027.endivestep.v1.C" +
-      "ountersB\036\n\032org.endivestep.protocol.v1P\001b" +
-      "\006proto3"
+      "0\001\022J\n\007Confirm\022\033.endivestep.v1.Confirmati" +
+      "on\032\".endivestep.v1.ConfirmationReceipt\022@" +
+      "\n\005Fence\022\033.endivestep.v1.FenceRequest\032\032.e" +
+      "ndivestep.v1.FenceAnswer2\200\002\n\007Control\022]\n\022" +
+      "FetchConfiguration\022#.endivestep.v1.Confi" +
+      "gurationRequest\032\".endivestep.v1.Configur" +
+      "ationRecord\022M\n\013Synchronize\022\036.endivestep." +
+      "v1.MembershipState\032\036.endivestep.v1.Membe" +
+      "rshipState\022G\n\014ReadCounters\022\036.endivestep." +
+      "v1.CountersRequest\032\027.endivestep.v1.Count" +
+      "ersB\036\n\032org.endivestep.protocol.v1P\001b\006pro" +
+      "to3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -395,7 +418,7 @@
     internal_static_endivestep_v1_RequestHead_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_RequestHead_descriptor,
-        new java.lang.String[] { "RequestId", "AttemptId", "Service", "Kind", "Method", "Path", "Headers", "RemainingMs", "DaemonIncarnation", "InlineBody", "StreamedBody", "BodyLength", "Fingerprint", "ConfigurationVersion", "Priority", "ObjectiveMs", "PatienceMs", "Nested", "Repeated", "SentMs", "Team", "WorkerVersion", });
+        new java.lang.String[] { "RequestId", "AttemptId", "Service", "Kind", "Method", "Path", "Headers", "RemainingMs", "DaemonIncarnation", "InlineBody", "StreamedBody", "BodyLength", "Fingerprint", "ConfigurationVersion", "Priority", "ObjectiveMs", "PatienceMs", "Nested", "Repeated", "Team", "WorkerVersion", "SentAtMs", "LeaseAgeMs", "Confirms", });
     internal_static_endivestep_v1_BodyChunk_descriptor =
       getDescriptor().getMessageTypes().get(3);
     internal_static_endivestep_v1_BodyChunk_fieldAccessorTable = new
@@ -413,201 +436,219 @@
     internal_static_endivestep_v1_AnswerFrame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_AnswerFrame_descriptor,
-        new java.lang.String[] { "Admitted", "NotRun", "Unknown", "Head", "Chunk", "End", "Frame", });
-    internal_static_endivestep_v1_LoadReport_descriptor =
+        new java.lang.String[] { "Admitted", "NotRun", "Unknown", "Head", "Chunk", "End", "Question", "ClockMs", "Frame", });
+    internal_static_endivestep_v1_Question_descriptor =
       getDescriptor().getMessageTypes().get(6);
+    internal_static_endivestep_v1_Question_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_endivestep_v1_Question_descriptor,
+        new java.lang.String[] { "Number", });
+    internal_static_endivestep_v1_Confirmation_descriptor =
+      getDescriptor().getMessageTypes().get(7);
+    internal_static_endivestep_v1_Confirmation_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_endivestep_v1_Confirmation_descriptor,
+        new java.lang.String[] { "Question", "RemainingMs", });
+    internal_static_endivestep_v1_ConfirmationReceipt_descriptor =
+      getDescriptor().getMessageTypes().get(8);
+    internal_static_endivestep_v1_ConfirmationReceipt_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_endivestep_v1_ConfirmationReceipt_descriptor,
+        new java.lang.String[] { });
+    internal_static_endivestep_v1_LoadReport_descriptor =
+      getDescriptor().getMessageTypes().get(9);
     internal_static_endivestep_v1_LoadReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_LoadReport_descriptor,
         new java.lang.String[] { "InFlight", "Limit", "Waiting", "SlownessPercent", });
     internal_static_endivestep_v1_LoadNotice_descriptor =
-      getDescriptor().getMessageTypes().get(7);
+      getDescriptor().getMessageTypes().get(10);
     internal_static_endivestep_v1_LoadNotice_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_LoadNotice_descriptor,
         new java.lang.String[] { "Vm", "Load", "Sequence", });
     internal_static_endivestep_v1_Admitted_descriptor =
-      getDescriptor().getMessageTypes().get(8);
+      getDescriptor().getMessageTypes().get(11);
     internal_static_endivestep_v1_Admitted_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_Admitted_descriptor,
         new java.lang.String[] { "Load", });
     internal_static_endivestep_v1_NotRun_descriptor =
-      getDescriptor().getMessageTypes().get(9);
+      getDescriptor().getMessageTypes().get(12);
     internal_static_endivestep_v1_NotRun_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_NotRun_descriptor,
         new java.lang.String[] { "Reason", "Load", "Final", });
     internal_static_endivestep_v1_Unknown_descriptor =
-      getDescriptor().getMessageTypes().get(10);
+      getDescriptor().getMessageTypes().get(13);
     internal_static_endivestep_v1_Unknown_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_Unknown_descriptor,
         new java.lang.String[] { "Reason", "Load", });
     internal_static_endivestep_v1_AnswerHead_descriptor =
-      getDescriptor().getMessageTypes().get(11);
+      getDescriptor().getMessageTypes().get(14);
     internal_static_endivestep_v1_AnswerHead_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_AnswerHead_descriptor,
         new java.lang.String[] { "RequestId", "AttemptId", "Status", "Headers", "Load", "Whole", "InlineBody", });
     internal_static_endivestep_v1_FenceRequest_descriptor =
-      getDescriptor().getMessageTypes().get(12);
+      getDescriptor().getMessageTypes().get(15);
     internal_static_endivestep_v1_FenceRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_FenceRequest_descriptor,
         new java.lang.String[] { "AttemptId", "DaemonIncarnation", "AgeMs", });
     internal_static_endivestep_v1_FenceAnswer_descriptor =
-      getDescriptor().getMessageTypes().get(13);
+      getDescriptor().getMessageTypes().get(16);
     internal_static_endivestep_v1_FenceAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_FenceAnswer_descriptor,
         new java.lang.String[] { "State", });
     internal_static_endivestep_v1_ConfigurationRequest_descriptor =
-      getDescriptor().getMessageTypes().get(14);
+      getDescriptor().getMessageTypes().get(17);
     internal_static_endivestep_v1_ConfigurationRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_ConfigurationRequest_descriptor,
         new java.lang.String[] { "KnownVersion", "KnownEra", "KnownRevision", });
     internal_static_endivestep_v1_ConfigurationRecord_descriptor =
-      getDescriptor().getMessageTypes().get(15);
+      getDescriptor().getMessageTypes().get(18);
     internal_static_endivestep_v1_ConfigurationRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_ConfigurationRecord_descriptor,
         new java.lang.String[] { "Version", "Document", "Change", "LatestStates", "StoreEra", "StoreRevision", });
     internal_static_endivestep_v1_Override_descriptor =
-      getDescriptor().getMessageTypes().get(16);
+      getDescriptor().getMessageTypes().get(19);
     internal_static_endivestep_v1_Override_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_Override_descriptor,
         new java.lang.String[] { "DataCentre", "State", "ChangeId", "Operator", "TimeMs", "StoreEra", });
     internal_static_endivestep_v1_ChangeEntry_descriptor =
-      getDescriptor().getMessageTypes().get(17);
+      getDescriptor().getMessageTypes().get(20);
     internal_static_endivestep_v1_ChangeEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_ChangeEntry_descriptor,
         new java.lang.String[] { "ChangeId", "Operator", "TimeMs", "FromVersion", "ToVersion", "Difference", });
     internal_static_endivestep_v1_Member_descriptor =
-      getDescriptor().getMessageTypes().get(18);
+      getDescriptor().getMessageTypes().get(21);
     internal_static_endivestep_v1_Member_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_Member_descriptor,
         new java.lang.String[] { "Vm", "Host", "InnerPort", "DataCentre", "DaemonIncarnation", "Sequence", "State", "Service", "WorkerIncarnation", "WorkerServing", "AdminPort", "WorkerVersion", });
     internal_static_endivestep_v1_Suspicion_descriptor =
-      getDescriptor().getMessageTypes().get(19);
+      getDescriptor().getMessageTypes().get(22);
     internal_static_endivestep_v1_Suspicion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_Suspicion_descriptor,
         new java.lang.String[] { "Fingerprint", "Deaths", "RemainingMs", "Lone", });
     internal_static_endivestep_v1_Gossip_descriptor =
-      getDescriptor().getMessageTypes().get(20);
+      getDescriptor().getMessageTypes().get(23);
     internal_static_endivestep_v1_Gossip_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_Gossip_descriptor,
         new java.lang.String[] { "Type", "From", "Sequence", "Target", "ConfigurationVersion", "Members", "Suspicions", "Digest", "Overrides", "StoreEra", "ConfigurationEra", "ConfigurationRevision", });
     internal_static_endivestep_v1_FreshnessRequest_descriptor =
-      getDescriptor().getMessageTypes().get(21);
+      getDescriptor().getMessageTypes().get(24);
     internal_static_endivestep_v1_FreshnessRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_FreshnessRequest_descriptor,
         new java.lang.String[] { "Vm", "Sequence", });
     internal_static_endivestep_v1_FreshnessReply_descriptor =
-      getDescriptor().getMessageTypes().get(22);
+      getDescriptor().getMessageTypes().get(25);
     internal_static_endivestep_v1_FreshnessReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_FreshnessReply_descriptor,
         new java.lang.String[] { "Sequence", "AgeMs", "ConfigurationVersion", "ConfigurationEra", "ConfigurationRevision", });
     internal_static_endivestep_v1_QuotaDemand_descriptor =
-      getDescriptor().getMessageTypes().get(23);
+      getDescriptor().getMessageTypes().get(26);
     internal_static_endivestep_v1_QuotaDemand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_QuotaDemand_descriptor,
         new java.lang.String[] { "Team", "Wanted", "Returned", });
     internal_static_endivestep_v1_QuotaRequest_descriptor =
-      getDescriptor().getMessageTypes().get(24);
+      getDescriptor().getMessageTypes().get(27);
     internal_static_endivestep_v1_QuotaRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_QuotaRequest_descriptor,
         new java.lang.String[] { "Vm", "DaemonIncarnation", "Sequence", "Demands", });
     internal_static_endivestep_v1_QuotaGrant_descriptor =
-      getDescriptor().getMessageTypes().get(25);
+      getDescriptor().getMessageTypes().get(28);
     internal_static_endivestep_v1_QuotaGrant_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_QuotaGrant_descriptor,
         new java.lang.String[] { "Team", "Granted", "NextTokenMs", });
     internal_static_endivestep_v1_QuotaReply_descriptor =
-      getDescriptor().getMessageTypes().get(26);
+      getDescriptor().getMessageTypes().get(29);
     internal_static_endivestep_v1_QuotaReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_QuotaReply_descriptor,
         new java.lang.String[] { "Sequence", "Owner", "Grants", });
     internal_static_endivestep_v1_RolloutRouteEvidence_descriptor =
-      getDescriptor().getMessageTypes().get(27);
+      getDescriptor().getMessageTypes().get(30);
     internal_static_endivestep_v1_RolloutRouteEvidence_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_RolloutRouteEvidence_descriptor,
         new java.lang.String[] { "Route", "Answered", "Failed", "LogMsSum", "LogMsSquareSum", "Timed", });
     internal_static_endivestep_v1_RolloutEvidence_descriptor =
-      getDescriptor().getMessageTypes().get(28);
+      getDescriptor().getMessageTypes().get(31);
     internal_static_endivestep_v1_RolloutEvidence_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_RolloutEvidence_descriptor,
         new java.lang.String[] { "Vm", "DaemonIncarnation", "Sequence", "Service", "TargetVersion", "WorkerVersion", "InFlight", "Routes", });
     internal_static_endivestep_v1_RolloutNotice_descriptor =
-      getDescriptor().getMessageTypes().get(29);
+      getDescriptor().getMessageTypes().get(32);
     internal_static_endivestep_v1_RolloutNotice_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_RolloutNotice_descriptor,
         new java.lang.String[] { "Sequence", "Service", "TargetVersion", "State", "SharePercent", "StoreEra", "StoreRevision", });
     internal_static_endivestep_v1_SignedGossip_descriptor =
-      getDescriptor().getMessageTypes().get(30);
+      getDescriptor().getMessageTypes().get(33);
     internal_static_endivestep_v1_SignedGossip_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_SignedGossip_descriptor,
         new java.lang.String[] { "Payload", "Signature", });
     internal_static_endivestep_v1_MembershipState_descriptor =
-      getDescriptor().getMessageTypes().get(31);
+      getDescriptor().getMessageTypes().get(34);
     internal_static_endivestep_v1_MembershipState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_MembershipState_descriptor,
         new java.lang.String[] { "From", "Members", "ConfigurationVersion", });
     internal_static_endivestep_v1_CountersRequest_descriptor =
-      getDescriptor().getMessageTypes().get(32);
+      getDescriptor().getMessageTypes().get(35);
     internal_static_endivestep_v1_CountersRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_CountersRequest_descriptor,
         new java.lang.String[] { });
     internal_static_endivestep_v1_Counters_descriptor =
-      getDescriptor().getMessageTypes().get(33);
+      getDescriptor().getMessageTypes().get(36);
     internal_static_endivestep_v1_Counters_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_Counters_descriptor,
         new java.lang.String[] { "Vm", "DataCentre", "ConfigurationVersion", "Outcomes", "Overrides", });
     internal_static_endivestep_v1_OutcomeCount_descriptor =
-      getDescriptor().getMessageTypes().get(34);
+      getDescriptor().getMessageTypes().get(37);
     internal_static_endivestep_v1_OutcomeCount_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_OutcomeCount_descriptor,
         new java.lang.String[] { "Service", "Kind", "Outcome", "Count", });
     internal_static_endivestep_v1_ClaimRecord_descriptor =
-      getDescriptor().getMessageTypes().get(35);
+      getDescriptor().getMessageTypes().get(38);
     internal_static_endivestep_v1_ClaimRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_ClaimRecord_descriptor,
         new java.lang.String[] { "State", "AttemptId", "Vm", "TimeMs", "Fingerprint", "Status", "Headers", "Body", "BodyKept", });
     internal_static_endivestep_v1_Rendezvous_descriptor =
-      getDescriptor().getMessageTypes().get(36);
+      getDescriptor().getMessageTypes().get(39);
     internal_static_endivestep_v1_Rendezvous_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_Rendezvous_descriptor,
         new java.lang.String[] { "Members", });
     internal_static_endivestep_v1_SignInRefusal_descriptor =
-      getDescriptor().getMessageTypes().get(37);
+      getDescriptor().getMessageTypes().get(40);
     internal_static_endivestep_v1_SignInRefusal_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_SignInRefusal_descriptor,
         new java.lang.String[] { "Name", "Source", "TimeMs", });
     internal_static_endivestep_v1_SignInRefusalList_descriptor =
-      getDescriptor().getMessageTypes().get(38);
+      getDescriptor().getMessageTypes().get(41);
     internal_static_endivestep_v1_SignInRefusalList_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_endivestep_v1_SignInRefusalList_descriptor,
--- a/protocol/src/main/java/org/endivestep/protocol/v1/ExchangesGrpc.java
+++ b/protocol/src/main/java/org/endivestep/protocol/v1/ExchangesGrpc.java
@@ -46,6 +46,37 @@
     return getExchangeMethod;
   }
 
+  private static volatile io.grpc.MethodDescriptor<org.endivestep.protocol.v1.Confirmation,
+      org.endivestep.protocol.v1.ConfirmationReceipt> getConfirmMethod;
+
+  @io.grpc.stub.annotations.RpcMethod(
+      fullMethodName = SERVICE_NAME + '/' + "Confirm",
+      requestType = org.endivestep.protocol.v1.Confirmation.class,
+      responseType = org.endivestep.protocol.v1.ConfirmationReceipt.class,
+      methodType = io.grpc.MethodDescriptor.MethodType.UNARY)
+  public static io.grpc.MethodDescriptor<org.endivestep.protocol.v1.Confirmation,
+      org.endivestep.protocol.v1.ConfirmationReceipt> getConfirmMethod() {
+    io.grpc.MethodDescriptor<org.endivestep.protocol.v1.Confirmation, org.endivestep.protocol.v1.ConfirmationReceipt> getConfirmMethod;
+    if ((getConfirmMethod = ExchangesGrpc.getConfirmMethod) == null) {
+      synchronized (ExchangesGrpc.class) {
+        if ((getConfirmMethod = ExchangesGrpc.getConfirmMethod) == null) {
+          ExchangesGrpc.getConfirmMethod = getConfirmMethod =
+              io.grpc.MethodDescriptor.<org.endivestep.protocol.v1.Confirmation, org.endivestep.protocol.v1.ConfirmationReceipt>newBuilder()
+              .setType(io.grpc.MethodDescriptor.MethodType.UNARY)
+              .setFullMethodName(generateFullMethodName(SERVICE_NAME, "Confirm"))
+              .setSampledToLocalTracing(true)
+              .setRequestMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
+                  org.endivestep.protocol.v1.Confirmation.getDefaultInstance()))
+              .setResponseMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
+                  org.endivestep.protocol.v1.ConfirmationReceipt.getDefaultInstance()))
+              .setSchemaDescriptor(new ExchangesMethodDescriptorSupplier("Confirm"))
+              .build();
+        }
+      }
+    }
+    return getConfirmMethod;
+  }
+
   private static volatile io.grpc.MethodDescriptor<org.endivestep.protocol.v1.FenceRequest,
       org.endivestep.protocol.v1.FenceAnswer> getFenceMethod;
 
@@ -150,6 +181,16 @@
       return io.grpc.stub.ServerCalls.asyncUnimplementedStreamingCall(getExchangeMethod(), responseObserver);
     }
 
+    /**
+     * <pre>
+     * Confirms, in answer to a question on an exchange, that the caller of its request still waits.
+     * </pre>
+     */
+    default void confirm(org.endivestep.protocol.v1.Confirmation request,
+        io.grpc.stub.StreamObserver<org.endivestep.protocol.v1.ConfirmationReceipt> responseObserver) {
+      io.grpc.stub.ServerCalls.asyncUnimplementedUnaryCall(getConfirmMethod(), responseObserver);
+    }
+
     /**
      * <pre>
      * Fences an attempt: after the answer NEVER_STARTED the attempt cannot start.
@@ -202,6 +243,17 @@
           getChannel().newCall(getExchangeMethod(), getCallOptions()), responseObserver);
     }
 
+    /**
+     * <pre>
+     * Confirms, in answer to a question on an exchange, that the caller of its request still waits.
+     * </pre>
+     */
+    public void confirm(org.endivestep.protocol.v1.Confirmation request,
+        io.grpc.stub.StreamObserver<org.endivestep.protocol.v1.ConfirmationReceipt> responseObserver) {
+      io.grpc.stub.ClientCalls.asyncUnaryCall(
+          getChannel().newCall(getConfirmMethod(), getCallOptions()), request, responseObserver);
+    }
+
     /**
      * <pre>
      * Fences an attempt: after the answer NEVER_STARTED the attempt cannot start.
@@ -242,6 +294,16 @@
           getChannel(), getExchangeMethod(), getCallOptions());
     }
 
+    /**
+     * <pre>
+     * Confirms, in answer to a question on an exchange, that the caller of its request still waits.
+     * </pre>
+     */
+    public org.endivestep.protocol.v1.ConfirmationReceipt confirm(org.endivestep.protocol.v1.Confirmation request) {
+      return io.grpc.stub.ClientCalls.blockingUnaryCall(
+          getChannel(), getConfirmMethod(), getCallOptions(), request);
+    }
+
     /**
      * <pre>
      * Fences an attempt: after the answer NEVER_STARTED the attempt cannot start.
@@ -272,6 +334,16 @@
       return new ExchangesBlockingStub(channel, callOptions);
     }
 
+    /**
+     * <pre>
+     * Confirms, in answer to a question on an exchange, that the caller of its request still waits.
+     * </pre>
+     */
+    public org.endivestep.protocol.v1.ConfirmationReceipt confirm(org.endivestep.protocol.v1.Confirmation request) {
+      return io.grpc.stub.ClientCalls.blockingUnaryCall(
+          getChannel(), getConfirmMethod(), getCallOptions(), request);
+    }
+
     /**
      * <pre>
      * Fences an attempt: after the answer NEVER_STARTED the attempt cannot start.
@@ -302,6 +374,17 @@
       return new ExchangesFutureStub(channel, callOptions);
     }
 
+    /**
+     * <pre>
+     * Confirms, in answer to a question on an exchange, that the caller of its request still waits.
+     * </pre>
+     */
+    public com.google.common.util.concurrent.ListenableFuture<org.endivestep.protocol.v1.ConfirmationReceipt> confirm(
+        org.endivestep.protocol.v1.Confirmation request) {
+      return io.grpc.stub.ClientCalls.futureUnaryCall(
+          getChannel().newCall(getConfirmMethod(), getCallOptions()), request);
+    }
+
     /**
      * <pre>
      * Fences an attempt: after the answer NEVER_STARTED the attempt cannot start.
@@ -314,8 +397,9 @@
     }
   }
 
-  private static final int METHODID_FENCE = 0;
-  private static final int METHODID_EXCHANGE = 1;
+  private static final int METHODID_CONFIRM = 0;
+  private static final int METHODID_FENCE = 1;
+  private static final int METHODID_EXCHANGE = 2;
 
   private static final class MethodHandlers<Req, Resp> implements
       io.grpc.stub.ServerCalls.UnaryMethod<Req, Resp>,
@@ -334,6 +418,10 @@
     @java.lang.SuppressWarnings("unchecked")
     public void invoke(Req request, io.grpc.stub.StreamObserver<Resp> responseObserver) {
       switch (methodId) {
+        case METHODID_CONFIRM:
+          serviceImpl.confirm((org.endivestep.protocol.v1.Confirmation) request,
+              (io.grpc.stub.StreamObserver<org.endivestep.protocol.v1.ConfirmationReceipt>) responseObserver);
+          break;
         case METHODID_FENCE:
           serviceImpl.fence((org.endivestep.protocol.v1.FenceRequest) request,
               (io.grpc.stub.StreamObserver<org.endivestep.protocol.v1.FenceAnswer>) responseObserver);
@@ -366,6 +454,13 @@
               org.endivestep.protocol.v1.RequestFrame,
               org.endivestep.protocol.v1.AnswerFrame>(
                 service, METHODID_EXCHANGE)))
+        .addMethod(
+          getConfirmMethod(),
+          io.grpc.stub.ServerCalls.asyncUnaryCall(
+            new MethodHandlers<
+              org.endivestep.protocol.v1.Confirmation,
+              org.endivestep.protocol.v1.ConfirmationReceipt>(
+                service, METHODID_CONFIRM)))
         .addMethod(
           getFenceMethod(),
           io.grpc.stub.ServerCalls.asyncUnaryCall(
@@ -422,6 +517,7 @@
           serviceDescriptor = result = io.grpc.ServiceDescriptor.newBuilder(SERVICE_NAME)
               .setSchemaDescriptor(new ExchangesFileDescriptorSupplier())
               .addMethod(getExchangeMethod())
+              .addMethod(getConfirmMethod())
               .addMethod(getFenceMethod())
               .build();
         }
--- a/protocol/src/main/java/org/endivestep/protocol/v1/RequestHead.java
+++ b/protocol/src/main/java/org/endivestep/protocol/v1/RequestHead.java
@@ -543,33 +543,6 @@
     return repeated_;
   }
 
-  public static final int SENT_MS_FIELD_NUMBER = 20;
-  private long sentMs_ = 0L;
-  /**
-   * <pre>
-   * When the head was sent, in ms of the sender's monotonic clock; only differences within a connection are meaningful.
-   * </pre>
-   *
-   * <code>optional int64 sent_ms = 20;</code>
-   * @return Whether the sentMs field is set.
-   */
-  @java.lang.Override
-  public boolean hasSentMs() {
-    return ((bitField0_ & 0x00000001) != 0);
-  }
-  /**
-   * <pre>
-   * When the head was sent, in ms of the sender's monotonic clock; only differences within a connection are meaningful.
-   * </pre>
-   *
-   * <code>optional int64 sent_ms = 20;</code>
-   * @return The sentMs.
-   */
-  @java.lang.Override
-  public long getSentMs() {
-    return sentMs_;
-  }
-
   public static final int TEAM_FIELD_NUMBER = 21;
   @SuppressWarnings("serial")
   private volatile java.lang.Object team_ = "";
@@ -664,6 +637,63 @@
     }
   }
 
+  public static final int SENT_AT_MS_FIELD_NUMBER = 23;
+  private long sentAtMs_ = 0L;
+  /**
+   * <pre>
+   * When the head was sent or earlier, in ms of the receiver's monotonic clock; absent when the sender cannot bound that clock.
+   * </pre>
+   *
+   * <code>optional int64 sent_at_ms = 23;</code>
+   * @return Whether the sentAtMs field is set.
+   */
+  @java.lang.Override
+  public boolean hasSentAtMs() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * When the head was sent or earlier, in ms of the receiver's monotonic clock; absent when the sender cannot bound that clock.
+   * </pre>
+   *
+   * <code>optional int64 sent_at_ms = 23;</code>
+   * @return The sentAtMs.
+   */
+  @java.lang.Override
+  public long getSentAtMs() {
+    return sentAtMs_;
+  }
+
+  public static final int LEASE_AGE_MS_FIELD_NUMBER = 24;
+  private long leaseAgeMs_ = 0L;
+  /**
+   * <pre>
+   * Time in ms before the sending at which the caller was last known to wait.
+   * </pre>
+   *
+   * <code>int64 lease_age_ms = 24;</code>
+   * @return The leaseAgeMs.
+   */
+  @java.lang.Override
+  public long getLeaseAgeMs() {
+    return leaseAgeMs_;
+  }
+
+  public static final int CONFIRMS_FIELD_NUMBER = 25;
+  private boolean confirms_ = false;
+  /**
+   * <pre>
+   * Whether the sender answers questions about the caller.
+   * </pre>
+   *
+   * <code>bool confirms = 25;</code>
+   * @return The confirms.
+   */
+  @java.lang.Override
+  public boolean getConfirms() {
+    return confirms_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -735,15 +765,21 @@
     if (repeated_ != false) {
       output.writeBool(19, repeated_);
     }
-    if (((bitField0_ & 0x00000001) != 0)) {
-      output.writeInt64(20, sentMs_);
-    }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(team_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 21, team_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workerVersion_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 22, workerVersion_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeInt64(23, sentAtMs_);
+    }
+    if (leaseAgeMs_ != 0L) {
+      output.writeInt64(24, leaseAgeMs_);
+    }
+    if (confirms_ != false) {
+      output.writeBool(25, confirms_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -821,16 +857,24 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(19, repeated_);
     }
-    if (((bitField0_ & 0x00000001) != 0)) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(20, sentMs_);
-    }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(team_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(21, team_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workerVersion_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(22, workerVersion_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(23, sentAtMs_);
+    }
+    if (leaseAgeMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(24, leaseAgeMs_);
+    }
+    if (confirms_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(25, confirms_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -884,15 +928,19 @@
         != other.getNested()) return false;
     if (getRepeated()
         != other.getRepeated()) return false;
-    if (hasSentMs() != other.hasSentMs()) return false;
-    if (hasSentMs()) {
-      if (getSentMs()
-          != other.getSentMs()) return false;
-    }
     if (!getTeam()
         .equals(other.getTeam())) return false;
     if (!getWorkerVersion()
         .equals(other.getWorkerVersion())) return false;
+    if (hasSentAtMs() != other.hasSentAtMs()) return false;
+    if (hasSentAtMs()) {
+      if (getSentAtMs()
+          != other.getSentAtMs()) return false;
+    }
+    if (getLeaseAgeMs()
+        != other.getLeaseAgeMs()) return false;
+    if (getConfirms()
+        != other.getConfirms()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -952,15 +1000,21 @@
     hash = (37 * hash) + REPEATED_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getRepeated());
-    if (hasSentMs()) {
-      hash = (37 * hash) + SENT_MS_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getSentMs());
-    }
     hash = (37 * hash) + TEAM_FIELD_NUMBER;
     hash = (53 * hash) + getTeam().hashCode();
     hash = (37 * hash) + WORKER_VERSION_FIELD_NUMBER;
     hash = (53 * hash) + getWorkerVersion().hashCode();
+    if (hasSentAtMs()) {
+      hash = (37 * hash) + SENT_AT_MS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getSentAtMs());
+    }
+    hash = (37 * hash) + LEASE_AGE_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getLeaseAgeMs());
+    hash = (37 * hash) + CONFIRMS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getConfirms());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1117,9 +1171,11 @@
       patienceMs_ = 0L;
       nested_ = false;
       repeated_ = false;
-      sentMs_ = 0L;
       team_ = "";
       workerVersion_ = "";
+      sentAtMs_ = 0L;
+      leaseAgeMs_ = 0L;
+      confirms_ = false;
       return this;
     }
 
@@ -1220,16 +1276,22 @@
       if (((from_bitField0_ & 0x00040000) != 0)) {
         result.repeated_ = repeated_;
       }
-      int to_bitField0_ = 0;
       if (((from_bitField0_ & 0x00080000) != 0)) {
-        result.sentMs_ = sentMs_;
-        to_bitField0_ |= 0x00000001;
+        result.team_ = team_;
       }
       if (((from_bitField0_ & 0x00100000) != 0)) {
-        result.team_ = team_;
+        result.workerVersion_ = workerVersion_;
       }
+      int to_bitField0_ = 0;
       if (((from_bitField0_ & 0x00200000) != 0)) {
-        result.workerVersion_ = workerVersion_;
+        result.sentAtMs_ = sentAtMs_;
+        to_bitField0_ |= 0x00000001;
+      }
+      if (((from_bitField0_ & 0x00400000) != 0)) {
+        result.leaseAgeMs_ = leaseAgeMs_;
+      }
+      if (((from_bitField0_ & 0x00800000) != 0)) {
+        result.confirms_ = confirms_;
       }
       result.bitField0_ |= to_bitField0_;
     }
@@ -1342,19 +1404,25 @@
       if (other.getRepeated() != false) {
         setRepeated(other.getRepeated());
       }
-      if (other.hasSentMs()) {
-        setSentMs(other.getSentMs());
-      }
       if (!other.getTeam().isEmpty()) {
         team_ = other.team_;
-        bitField0_ |= 0x00100000;
+        bitField0_ |= 0x00080000;
         onChanged();
       }
       if (!other.getWorkerVersion().isEmpty()) {
         workerVersion_ = other.workerVersion_;
-        bitField0_ |= 0x00200000;
+        bitField0_ |= 0x00100000;
         onChanged();
       }
+      if (other.hasSentAtMs()) {
+        setSentAtMs(other.getSentAtMs());
+      }
+      if (other.getLeaseAgeMs() != 0L) {
+        setLeaseAgeMs(other.getLeaseAgeMs());
+      }
+      if (other.getConfirms() != false) {
+        setConfirms(other.getConfirms());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1484,21 +1552,31 @@
               bitField0_ |= 0x00040000;
               break;
             } // case 152
-            case 160: {
-              sentMs_ = input.readInt64();
-              bitField0_ |= 0x00080000;
-              break;
-            } // case 160
             case 170: {
               team_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00100000;
+              bitField0_ |= 0x00080000;
               break;
             } // case 170
             case 178: {
               workerVersion_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00200000;
+              bitField0_ |= 0x00100000;
               break;
             } // case 178
+            case 184: {
+              sentAtMs_ = input.readInt64();
+              bitField0_ |= 0x00200000;
+              break;
+            } // case 184
+            case 192: {
+              leaseAgeMs_ = input.readInt64();
+              bitField0_ |= 0x00400000;
+              break;
+            } // case 192
+            case 200: {
+              confirms_ = input.readBool();
+              bitField0_ |= 0x00800000;
+              break;
+            } // case 200
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2724,62 +2802,6 @@
       return this;
     }
 
-    private long sentMs_ ;
-    /**
-     * <pre>
-     * When the head was sent, in ms of the sender's monotonic clock; only differences within a connection are meaningful.
-     * </pre>
-     *
-     * <code>optional int64 sent_ms = 20;</code>
-     * @return Whether the sentMs field is set.
-     */
-    @java.lang.Override
-    public boolean hasSentMs() {
-      return ((bitField0_ & 0x00080000) != 0);
-    }
-    /**
-     * <pre>
-     * When the head was sent, in ms of the sender's monotonic clock; only differences within a connection are meaningful.
-     * </pre>
-     *
-     * <code>optional int64 sent_ms = 20;</code>
-     * @return The sentMs.
-     */
-    @java.lang.Override
-    public long getSentMs() {
-      return sentMs_;
-    }
-    /**
-     * <pre>
-     * When the head was sent, in ms of the sender's monotonic clock; only differences within a connection are meaningful.
-     * </pre>
-     *
-     * <code>optional int64 sent_ms = 20;</code>
-     * @param value The sentMs to set.
-     * @return This builder for chaining.
-     */
-    public Builder setSentMs(long value) {
-
-      sentMs_ = value;
-      bitField0_ |= 0x00080000;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * When the head was sent, in ms of the sender's monotonic clock; only differences within a connection are meaningful.
-     * </pre>
-     *
-     * <code>optional int64 sent_ms = 20;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearSentMs() {
-      bitField0_ = (bitField0_ & ~0x00080000);
-      sentMs_ = 0L;
-      onChanged();
-      return this;
-    }
-
     private java.lang.Object team_ = "";
     /**
      * <pre>
@@ -2835,7 +2857,7 @@
         java.lang.String value) {
       if (value == null) { throw new NullPointerException(); }
       team_ = value;
-      bitField0_ |= 0x00100000;
+      bitField0_ |= 0x00080000;
       onChanged();
       return this;
     }
@@ -2849,7 +2871,7 @@
      */
     public Builder clearTeam() {
       team_ = getDefaultInstance().getTeam();
-      bitField0_ = (bitField0_ & ~0x00100000);
+      bitField0_ = (bitField0_ & ~0x00080000);
       onChanged();
       return this;
     }
@@ -2867,7 +2889,7 @@
       if (value == null) { throw new NullPointerException(); }
       checkByteStringIsUtf8(value);
       team_ = value;
-      bitField0_ |= 0x00100000;
+      bitField0_ |= 0x00080000;
       onChanged();
       return this;
     }
@@ -2927,7 +2949,7 @@
         java.lang.String value) {
       if (value == null) { throw new NullPointerException(); }
       workerVersion_ = value;
-      bitField0_ |= 0x00200000;
+      bitField0_ |= 0x00100000;
       onChanged();
       return this;
     }
@@ -2941,7 +2963,7 @@
      */
     public Builder clearWorkerVersion() {
       workerVersion_ = getDefaultInstance().getWorkerVersion();
-      bitField0_ = (bitField0_ & ~0x00200000);
+      bitField0_ = (bitField0_ & ~0x00100000);
       onChanged();
       return this;
     }
@@ -2959,10 +2981,154 @@
       if (value == null) { throw new NullPointerException(); }
       checkByteStringIsUtf8(value);
       workerVersion_ = value;
+      bitField0_ |= 0x00100000;
+      onChanged();
+      return this;
+    }
+
+    private long sentAtMs_ ;
+    /**
+     * <pre>
+     * When the head was sent or earlier, in ms of the receiver's monotonic clock; absent when the sender cannot bound that clock.
+     * </pre>
+     *
+     * <code>optional int64 sent_at_ms = 23;</code>
+     * @return Whether the sentAtMs field is set.
+     */
+    @java.lang.Override
+    public boolean hasSentAtMs() {
+      return ((bitField0_ & 0x00200000) != 0);
+    }
+    /**
+     * <pre>
+     * When the head was sent or earlier, in ms of the receiver's monotonic clock; absent when the sender cannot bound that clock.
+     * </pre>
+     *
+     * <code>optional int64 sent_at_ms = 23;</code>
+     * @return The sentAtMs.
+     */
+    @java.lang.Override
+    public long getSentAtMs() {
+      return sentAtMs_;
+    }
+    /**
+     * <pre>
+     * When the head was sent or earlier, in ms of the receiver's monotonic clock; absent when the sender cannot bound that clock.
+     * </pre>
+     *
+     * <code>optional int64 sent_at_ms = 23;</code>
+     * @param value The sentAtMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSentAtMs(long value) {
+
+      sentAtMs_ = value;
       bitField0_ |= 0x00200000;
       onChanged();
       return this;
     }
+    /**
+     * <pre>
+     * When the head was sent or earlier, in ms of the receiver's monotonic clock; absent when the sender cannot bound that clock.
+     * </pre>
+     *
+     * <code>optional int64 sent_at_ms = 23;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSentAtMs() {
+      bitField0_ = (bitField0_ & ~0x00200000);
+      sentAtMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long leaseAgeMs_ ;
+    /**
+     * <pre>
+     * Time in ms before the sending at which the caller was last known to wait.
+     * </pre>
+     *
+     * <code>int64 lease_age_ms = 24;</code>
+     * @return The leaseAgeMs.
+     */
+    @java.lang.Override
+    public long getLeaseAgeMs() {
+      return leaseAgeMs_;
+    }
+    /**
+     * <pre>
+     * Time in ms before the sending at which the caller was last known to wait.
+     * </pre>
+     *
+     * <code>int64 lease_age_ms = 24;</code>
+     * @param value The leaseAgeMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLeaseAgeMs(long value) {
+
+      leaseAgeMs_ = value;
+      bitField0_ |= 0x00400000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Time in ms before the sending at which the caller was last known to wait.
+     * </pre>
+     *
+     * <code>int64 lease_age_ms = 24;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLeaseAgeMs() {
+      bitField0_ = (bitField0_ & ~0x00400000);
+      leaseAgeMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private boolean confirms_ ;
+    /**
+     * <pre>
+     * Whether the sender answers questions about the caller.
+     * </pre>
+     *
+     * <code>bool confirms = 25;</code>
+     * @return The confirms.
+     */
+    @java.lang.Override
+    public boolean getConfirms() {
+      return confirms_;
+    }
+    /**
+     * <pre>
+     * Whether the sender answers questions about the caller.
+     * </pre>
+     *
+     * <code>bool confirms = 25;</code>
+     * @param value The confirms to set.
+     * @return This builder for chaining.
+     */
+    public Builder setConfirms(boolean value) {
+
+      confirms_ = value;
+      bitField0_ |= 0x00800000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the sender answers questions about the caller.
+     * </pre>
+     *
+     * <code>bool confirms = 25;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearConfirms() {
+      bitField0_ = (bitField0_ & ~0x00800000);
+      confirms_ = false;
+      onChanged();
+      return this;
+    }
 
     // @@protoc_insertion_point(builder_scope:endivestep.v1.RequestHead)
   }
--- a/protocol/src/main/java/org/endivestep/protocol/v1/RequestHeadOrBuilder.java
+++ b/protocol/src/main/java/org/endivestep/protocol/v1/RequestHeadOrBuilder.java
@@ -214,25 +214,6 @@
    */
   boolean getRepeated();
 
-  /**
-   * <pre>
-   * When the head was sent, in ms of the sender's monotonic clock; only differences within a connection are meaningful.
-   * </pre>
-   *
-   * <code>optional int64 sent_ms = 20;</code>
-   * @return Whether the sentMs field is set.
-   */
-  boolean hasSentMs();
-  /**
-   * <pre>
-   * When the head was sent, in ms of the sender's monotonic clock; only differences within a connection are meaningful.
-   * </pre>
-   *
-   * <code>optional int64 sent_ms = 20;</code>
-   * @return The sentMs.
-   */
-  long getSentMs();
-
   /**
    * <pre>
    * Team that sent the request; empty when none is known.
@@ -272,4 +253,43 @@
    */
   com.google.protobuf.ByteString
       getWorkerVersionBytes();
+
+  /**
+   * <pre>
+   * When the head was sent or earlier, in ms of the receiver's monotonic clock; absent when the sender cannot bound that clock.
+   * </pre>
+   *
+   * <code>optional int64 sent_at_ms = 23;</code>
+   * @return Whether the sentAtMs field is set.
+   */
+  boolean hasSentAtMs();
+  /**
+   * <pre>
+   * When the head was sent or earlier, in ms of the receiver's monotonic clock; absent when the sender cannot bound that clock.
+   * </pre>
+   *
+   * <code>optional int64 sent_at_ms = 23;</code>
+   * @return The sentAtMs.
+   */
+  long getSentAtMs();
+
+  /**
+   * <pre>
+   * Time in ms before the sending at which the caller was last known to wait.
+   * </pre>
+   *
+   * <code>int64 lease_age_ms = 24;</code>
+   * @return The leaseAgeMs.
+   */
+  long getLeaseAgeMs();
+
+  /**
+   * <pre>
+   * Whether the sender answers questions about the caller.
+   * </pre>
+   *
+   * <code>bool confirms = 25;</code>
+   * @return The confirms.
+   */
+  boolean getConfirms();
 }
