Close the worker's connection on the loop that reads a cancellation

The daemon beside the worker knew of it, but the connection was closed only by the request's thread, when it got to run. The loop that reads the cancellation closes it now; a connection that carries another request already is left alone, and an answer that is cut so says nothing against the worker.

DepartedCallerWorkerCallTest fails without the change: there the connection stays open until the deadline.

--- a/endivestep/src/main/kotlin/org/endivestep/egress/AnswerBody.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/AnswerBody.kt
@@ -13,7 +13,7 @@
     /** It had not ended at the deadline of its request. */
     OVERDUE,
 
-    /** The reader closed the body before its end. */
+    /** The reader closed the body before its end, or its request was cancelled. */
     ABANDONED,
     ;
 
@@ -34,11 +34,11 @@
         }
 }
 
-/** Body of a worker's answer that calls [onEnd] once, when it ends. A failure once the answer [isOverdue] is due to its deadline. */
+/** Body of a worker's answer that calls [onEnd] once, when it ends; [failureEnding] tells what a failure to read it means. */
 internal class AnswerBody(
     stream: InputStream,
     private val abort: () -> Unit,
-    private val isOverdue: () -> Boolean,
+    private val failureEnding: () -> AnswerEnding,
     private val onEnd: (AnswerEnding) -> Unit,
 ) : FilterInputStream(stream) {
     private var ended = false
@@ -59,7 +59,7 @@
         try {
             read().also { if (it < 0) end(AnswerEnding.COMPLETE) }
         } catch (e: IOException) {
-            end(if (isOverdue()) AnswerEnding.OVERDUE else AnswerEnding.TRUNCATED)
+            end(failureEnding())
             throw e
         }
 
--- a/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
@@ -214,11 +214,19 @@
         val latencyMs = run.elapsedMs()
         if (head.status < FIRST_ERROR) processingTimes.observed(run.request.kind, latencyMs)
         val completion = if (head.status >= FIRST_SERVER_ERROR) Completion.Failed else Completion.Answered(latencyMs)
-        val isOverdue = { run.request.deadline.remainingMs(nowMs()) <= 0 }
-        val body = AnswerBody(result.body, result.abort, isOverdue) { run.end(it.completion(completion), it.requestEnd(completion)) }
+        val failureEnding = { failureEnding(run.request) }
+        val body = AnswerBody(result.body, result.abort, failureEnding) { run.end(it.completion(completion), it.requestEnd(completion)) }
         return AttemptResult.Answered(head, body, admission.load)
     }
 
+    // A request that is cancelled, or past its deadline, ends with its connection.
+    private fun failureEnding(request: AttemptRequest): AnswerEnding =
+        when {
+            request.cancellation.isCancelled -> AnswerEnding.ABANDONED
+            request.deadline.remainingMs(nowMs()) <= 0 -> AnswerEnding.OVERDUE
+            else -> AnswerEnding.TRUNCATED
+        }
+
     private fun releaseAndRefuse(permit: AdmissionLimit.Permit, reason: NotRunReason): AttemptResult {
         admission.release(permit, Completion.Cancelled)
         return refuse(reason)
--- a/endivestep/src/main/kotlin/org/endivestep/egress/NettyWorkerCall.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/NettyWorkerCall.kt
@@ -40,7 +40,13 @@
     @Volatile
     private var cancelled = false
 
+    // Connection of the exchange in progress. A lock guards it, because another request may use the connection when the exchange has ended.
+    private val currentLock = Any()
+    private var current: HttpConnection? = null
+
     fun run(): WorkerResult {
+        // On the thread that learns of it: the one of this request may have to wait until it runs.
+        attempt.cancellation.onCancel { synchronized(currentLock) { current?.close() } }
         while (true) {
             val connection =
                 try {
@@ -68,18 +74,25 @@
             failed(e.toString())
         }
 
-    // A body that took until the deadline ends with its connection.
-    private fun failed(cause: String) = WorkerResult.Failed(cause, timedOut = remainingMs() <= 0)
+    // A body that took until the deadline ends with its connection, and so does an exchange that is cancelled.
+    private fun failed(cause: String): WorkerResult =
+        if (attempt.cancellation.isCancelled) WorkerResult.Cancelled else WorkerResult.Failed(cause, timedOut = remainingMs() <= 0)
+
+    private fun release(connection: HttpConnection) {
+        synchronized(currentLock) { current = null }
+        connections.release(address, connection)
+    }
 
     private fun exchange(connection: HttpConnection): WorkerResult {
         if (!attempt.isNeeded(monotonicMs())) {
-            connections.release(address, connection)
+            release(connection)
             return WorkerResult.Expired
         }
+        synchronized(currentLock) { current = connection }
         connection.send(head(), attempt.body, remainingMs(), ::mayWrite)
         return when (val event = connection.next(remainingMs().coerceAtLeast(1))) {
             HttpResponseEvent.NotSent -> {
-                connections.release(address, connection)
+                release(connection)
                 WorkerResult.Expired
             }
             is HttpResponseEvent.Head -> answered(connection, event.head)
@@ -113,7 +126,7 @@
     private fun answered(connection: HttpConnection, head: AnswerHead): WorkerResult {
         val attribution = attributionOf(head)
         if (attribution is AnswerAttribution.Unproved) return unattributed(connection, head, attribution.cause)
-        val body = AnswerReader(connection, ::remainingMs) { connections.release(address, connection) }
+        val body = AnswerReader(connection, ::remainingMs) { release(connection) }
         if ((head.contentLength ?: 0) > MAX_BUFFERED_BYTES) return WorkerResult.Answered(head, body, connection::close)
         return buffered(body.readNBytes(MAX_BUFFERED_BYTES + 1), connection, head, body)
     }
--- a/endivestep/src/test/kotlin/org/endivestep/egress/DepartedCallerWorkerCallTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/egress/DepartedCallerWorkerCallTest.kt
@@ -7,6 +7,7 @@
 import org.endivestep.exchange.CallerLease
 import org.endivestep.exchange.RequestBody
 import org.endivestep.exchange.monotonicMs
+import org.endivestep.fakes.ScriptedWorker
 import org.endivestep.fakes.WorkerCallFixture
 import org.endivestep.fakes.answerText
 import org.endivestep.fakes.scriptedWorker
@@ -15,11 +16,57 @@
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 
+// Shorter than the deadline, at which a request that nobody cancels ends.
+private const val CLOSE_TIMEOUT_MS = 1_000L
+
 // Long enough for a thread to hand its request to the event loop.
 private const val HAND_OVER_MS = 200L
 
 class DepartedCallerWorkerCallTest :
     FunSpec({
+        // Guards against work that goes on after the close, until the thread of the request gets to run (issue 54).
+        test("the connection of a request that is cancelled is closed without the thread of the request") {
+            class Case(val name: String, val answerStart: String, val expected: String)
+            listOf(
+                Case("no answer has begun", "", "cancelled"),
+                Case("the body of the answer has begun", answerText("r", "whole").dropLast(2), "cancelled"),
+            ).forEach { case ->
+                val received = CountDownLatch(1)
+                val closed = CountDownLatch(1)
+                ScriptedWorker {
+                    readRequest()
+                    send(case.answerStart)
+                    received.countDown()
+                    read(1)
+                    closed.countDown()
+                }.use { worker ->
+                    WorkerCallFixture().use { fixture ->
+                        val request = workerRequest("r", remainingMs = 10 * CLOSE_TIMEOUT_MS)
+                        val result = CompletableFuture.supplyAsync { fixture.send(worker.address, request) }
+                        received.await()
+                        Thread.sleep(HAND_OVER_MS)
+                        request.cancellation.cancel()
+                        withClue(case.name) {
+                            closed.await(CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS) shouldBe true
+                            result.get(5, TimeUnit.SECONDS) shouldBe case.expected
+                        }
+                    }
+                }
+            }
+        }
+
+        test("a connection that carries another request is not closed by the cancellation of an earlier one") {
+            scriptedWorker(listOf(answerText("1", "whole"), answerText("2", "whole"))) { awaitClose() }.use { worker ->
+                WorkerCallFixture().use { fixture ->
+                    val first = workerRequest("1")
+                    fixture.send(worker.address, first) shouldBe "200 whole"
+                    first.cancellation.cancel()
+                    fixture.send(worker.address, workerRequest("2")) shouldBe "200 whole"
+                    worker.connections shouldBe 1
+                }
+            }
+        }
+
         // Guards against a request that is written although its caller is known to have left, because its thread has not run since.
         test("a request that is cancelled before the event loop writes it is not sent to the worker") {
             class Case(
