--- a/emulator/src/test/kotlin/org/endivestep/emulator/RestartedFleetProcessTest.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/RestartedFleetProcessTest.kt
@@ -182,7 +182,12 @@
         return callers
     }
 
-    private fun sendOnKeptConnections(node: PlatformNode, untilNanos: Long, ends: MutableCollection<CallerEnd>, cutOff: MutableSet<String>) {
+    private fun sendOnKeptConnections(
+        node: PlatformNode,
+        untilNanos: Long,
+        ends: MutableCollection<CallerEnd>,
+        cutOff: MutableSet<String>,
+    ) {
         var connection = CallerConnectionToDaemon(node.callerPort, HOST)
         var isKept = false
         while (System.nanoTime() < untilNanos) {
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/RequestLog.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/RequestLog.kt
@@ -59,10 +59,7 @@
             result.call?.let { put("service", it.service.name.text) }
             if (result.outcome != FinalOutcome.ANSWERED) result.call?.let { put("fingerprint", it.fingerprint.text) }
             put("elapsedMs", elapsedMs)
-            put("readDelayMs", request.readDelayMs)
-            result.call?.let { put("countedMs", request.arrivedMs - it.sentMs) }
-            request.cancellation.cancelledMs?.let { put("leftMs", it - request.arrivedMs) }
-            result.call?.let { put("dispatchedMs", it.dispatchedMs - request.arrivedMs) }
+            putAll(times(request, result.call))
             put("deadlineMs", request.header(headers.deadlineMs).orEmpty())
             result.rule?.let { put("objectiveMs", it.objectiveMs) }
             result.rule?.let { put("timeoutMs", it.timeoutMs) }
@@ -73,6 +70,15 @@
             result.call?.let { put("attempts", it.trace) }
         }
 
+    // Where the time of the request went; see docs/OPERATIONS.md.
+    private fun times(request: CallerRequest, call: IncomingCall?): Map<String, Long> =
+        buildMap {
+            put("readDelayMs", request.readDelayMs)
+            call?.let { put("countedMs", request.arrivedMs - it.sentMs) }
+            request.cancellation.cancelledMs?.let { put("leftMs", it - request.arrivedMs) }
+            call?.let { put("dispatchedMs", it.dispatchedMs - request.arrivedMs) }
+        }
+
     private companion object {
         const val SUCCESS_LINES_PER_SECOND = 20
         const val PROBLEM_LINES_PER_SECOND = 50
