Reserve both ports that a daemon of a test fleet receives datagrams on

The fleet of 59 did not start in one whole run of the tests: a daemon found its second port for datagrams taken by another daemon, since only the first one of the pair was reserved. The test of the request lines let its caller leave at the deadline, where the worker's daemon may end the request before it hears of the close; it leaves earlier now.

--- a/emulator/src/test/kotlin/org/endivestep/emulator/PlatformFleet.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/PlatformFleet.kt
@@ -14,14 +14,14 @@
 
 /** A VM of the emulated platform: its data centre, the service of its worker, and its loopback ports. */
 internal class PlatformNode(val vm: String, val dataCentre: String, val service: String) {
-    private val ports = freePorts(5)
+    private val ports = freePorts(4)
     val callerPort = ports[0]
     val readinessPort = ports[1]
     val heartbeatPort = ports[2]
     val workerPort = ports[3]
 
-    // Port for traffic between daemons. The settings require a range of two ports, but the daemon listens only on the first.
-    val innerPort = ports[4]
+    // First port for traffic between daemons, which receive datagrams on the next one as well.
+    val innerPort = freePortPair()
     lateinit var daemon: Process
     lateinit var workerProcess: Process
 }
--- a/emulator/src/test/kotlin/org/endivestep/emulator/ProcessFleet.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/ProcessFleet.kt
@@ -86,6 +86,12 @@
     return sockets.map { socket -> socket.use { it.localPort } }
 }
 
+/** Returns the first of two ports in succession, both as [freePorts] returns them. */
+internal fun freePortPair(): Int {
+    val pairs = generateSequence { unusedPorts.random() }.filter { listOf(it, it + 1).all(returnedPorts::add) }
+    return pairs.first { first -> listOf(first, first + 1).map(::listenOrNull).onEach { it?.close() }.all { it != null } }
+}
+
 private val unusedPorts = 22_000..32_000
 private val returnedPorts = ConcurrentHashMap.newKeySet<Int>()
 
--- a/emulator/src/test/kotlin/org/endivestep/emulator/RequestLinesProcessTest.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/RequestLinesProcessTest.kt
@@ -7,6 +7,7 @@
 private const val HOST = "shop.example"
 private const val SLOTS = 4
 private const val WORK_MS = 600L
+private const val DEADLINE_MS = 5_000L
 
 private val configuration =
     """
@@ -22,7 +23,7 @@
     FunSpec({
         // Guards against a request that runs and of which no log tells, because its caller had left (issue 54).
         test("a request that ran has a line with its times at both daemons, also when its caller has left") {
-            class Case(val id: String, val deadlineMs: Long, val ingressFields: List<String>, val egressFields: List<String>)
+            class Case(val id: String, val patienceMs: Long, val ingressFields: List<String>, val egressFields: List<String>)
             val ingress = listOf("readDelayMs", "countedMs", "dispatchedMs", "elapsedMs")
             val egress = listOf("attempt", "crossingMs", "admittedMs", "writtenMs", "remainingMs", "elapsedMs")
             val calling = PlatformNode("shop-a", "a", "shop")
@@ -35,10 +36,10 @@
                         runCatching { fleet.send(calling, HOST, "/reads/1").statusCode() }.getOrNull() == 200
                     }
                     listOf(
-                        Case("answered", deadlineMs = 5_000, ingress, egress),
-                        Case("abandoned", deadlineMs = WORK_MS / 2, ingress + "leftMs", egress + "leftMs"),
+                        Case("answered", patienceMs = DEADLINE_MS, ingress, egress),
+                        Case("abandoned", patienceMs = WORK_MS / 2, ingress + "leftMs", egress + "leftMs"),
                     ).forEach { case ->
-                        val caller = DeadlineCaller(case.id, "/reads/${case.id}", calling.callerPort, HOST, case.deadlineMs)
+                        val caller = DeadlineCaller(case.id, "/reads/${case.id}", calling.callerPort, HOST, DEADLINE_MS, case.patienceMs)
                         caller.start()
                         caller.await()
                         awaitCondition("both daemons have a line of ${case.id}") {
--- a/emulator/src/test/kotlin/org/endivestep/emulator/RestartedFleetProcessTest.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/RestartedFleetProcessTest.kt
@@ -120,7 +120,7 @@
     private val killedNanos = ConcurrentHashMap<PlatformNode, Long>()
 
     init {
-        fleet.startDaemons(configuration)
+        runCatching { fleet.startDaemons(configuration) }.onFailure { fleet.close() }.getOrThrow()
         workers =
             nodes.map { node ->
                 RecordingWorker(node, SLOTS, WORK_MS) {
