Tell for each attempt that ends without an answer which side ended it, and what had been heard

An attempt that a timer had ended was called connection-lost, as one whose connection had really ended, and no line said what the daemon had heard of it by then, nor when it had asked. The daemon that takes a request now writes which side ended the attempt, why, and when it was admitted, asked about and answered; the one beside the worker writes each such question with its answer. What a timer ends is called no-response, and what the sender has cancelled, cancelled.

No decision is changed.

--- a/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
@@ -161,7 +161,7 @@
             }
             WorkerResult.Cancelled -> {
                 run.end(Completion.Cancelled)
-                AttemptResult.Unknown(UnknownReason.CONNECTION_LOST, admission.load)
+                AttemptResult.Unknown(UnknownReason.CANCELLED, admission.load)
             }
             is WorkerResult.Failed -> {
                 run.end(Completion.Failed, if (result.timedOut) RequestEnd.OTHER else RequestEnd.CONNECTION_LOST)
--- a/endivestep/src/main/kotlin/org/endivestep/outcome/Outcome.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/outcome/Outcome.kt
@@ -49,7 +49,15 @@
 internal enum class UnknownReason(val text: String) {
     TIMEOUT("timeout"),
     WORKER_FAILED("worker-failed"),
+
+    /** The connection to the daemon beside the worker ended, or that daemon did. */
     CONNECTION_LOST("connection-lost"),
+
+    /** Nothing was heard from the daemon beside the worker in time, over a connection that did not end. */
+    NO_RESPONSE("no-response"),
+
+    /** The sender of the request no longer waited, while the worker ran it. */
+    CANCELLED("cancelled"),
     MISMATCHED_ANSWER("mismatched-answer"),
 
     /** The worker began its answer, which broke off before any of it was sent to the caller. */
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeClient.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeClient.kt
@@ -43,6 +43,8 @@
     private val background: Executor,
     private val admitTimeoutMs: Long = ADMIT_TIMEOUT_MS,
 ) {
+    private val log = ExchangeLog()
+
     /**
      * Runs [attempt] at [peer]; blocks until the answer begins or the attempt fails. Throws [InterruptedException] when the
      * caller has left.
@@ -52,10 +54,10 @@
         val channel = channels.next(peer)
         val clock = channels.clock(peer.address)
         val call = ExchangeCall(channel, CallOptions.DEFAULT, request.deadline, clock) { confirm(channel, request, question = it) }
-        val sentMs = monotonicMs()
+        val progress = AttemptProgress()
         try {
             call.start(request.toHead(peer.incarnation, clock, monotonicMs()), streamsBody = request.body is RequestBody.Streamed)
-            return exchange(peer, channel, call, request, sentMs)
+            return exchange(peer, channel, call, request, progress)
         } catch (e: InterruptedException) {
             call.cancel("the calling thread was interrupted")
             throw e
@@ -67,7 +69,7 @@
         channel: ManagedChannel,
         call: ExchangeCall,
         request: AttemptRequest,
-        sentMs: Long,
+        progress: AttemptProgress,
     ): AttemptResult {
         request.cancellation.onCancel { call.cancel("the caller has left") }
         val answerTimeoutMs = answerWaitMs(request.deadline)
@@ -80,12 +82,19 @@
                 channel,
                 call,
                 request,
-                sentMs,
+                progress,
             )
-            first == null -> notAdmitted(peer, channel, call, request, sentMs, timedOut = received is ReceiveResult.TimedOut)
+            first == null -> notAdmitted(peer, channel, call, request, progress, received)
             first.frameCase != AnswerFrame.FrameCase.ADMITTED -> answerOf(peer, channel, call, request, first)
-            !upload(call, request) -> AttemptResult.Unknown(UnknownReason.CONNECTION_LOST)
-            else -> awaitAnswer(peer, channel, call, request)
+            else -> {
+                progress.admitted()
+                if (upload(call, request)) {
+                    awaitAnswer(peer, channel, call, request, progress)
+                } else {
+                    log.write(request, peer, progress, EndedBy.THIS_DAEMON, "no thread is free to send the request body")
+                    AttemptResult.Unknown(UnknownReason.CONNECTION_LOST)
+                }
+            }
         }
     }
 
@@ -120,15 +129,18 @@
         channel: ManagedChannel,
         call: ExchangeCall,
         request: AttemptRequest,
+        progress: AttemptProgress,
     ): AttemptResult = when (val received = call.next(answerWaitMs(request.deadline))) {
         is ReceiveResult.Frame -> answerOf(peer, channel, call, request, received.frame)
         ReceiveResult.TimedOut -> {
             call.cancel("no answer before the deadline")
+            log.write(request, peer, progress, EndedBy.THIS_DAEMON, "no answer before the deadline")
             checkConnection(peer, channel)
             AttemptResult.Unknown(UnknownReason.TIMEOUT)
         }
         else -> {
             call.cancel("the stream ended without an answer")
+            log.write(request, peer, progress, EndedBy.CONNECTION, received.cause())
             AttemptResult.Unknown(UnknownReason.CONNECTION_LOST)
         }
     }
@@ -169,10 +181,11 @@
     }
 
     // No frame came before the deadline, which was so short that the notice of admission was not due.
-    private fun overdue(peer: Peer, channel: ManagedChannel, call: ExchangeCall, request: AttemptRequest, sentMs: Long): AttemptResult {
+    private fun overdue(peer: Peer, channel: ManagedChannel, call: ExchangeCall, request: AttemptRequest, progress: AttemptProgress): AttemptResult {
         call.cancel("no answer before the deadline")
         if (!call.wasSent) return AttemptResult.NotRun(NotRunReason.DAEMON_UNREACHABLE)
-        val state = fence(peer, channel, request.attemptId.text, sentMs)
+        val state = askWhetherStarted(peer, channel, request, progress)
+        log.write(request, peer, progress, EndedBy.THIS_DAEMON, "no answer before the deadline")
         if (state == null) channels.retire(peer.address, channel)
         val isFenced = state == FenceAnswer.State.NEVER_STARTED
         return if (isFenced) AttemptResult.NotRun(NotRunReason.FENCED) else AttemptResult.Unknown(UnknownReason.TIMEOUT)
@@ -183,16 +196,32 @@
         channel: ManagedChannel,
         call: ExchangeCall,
         request: AttemptRequest,
-        sentMs: Long,
-        timedOut: Boolean,
+        progress: AttemptProgress,
+        received: ReceiveResult<AnswerFrame>,
     ): AttemptResult {
+        val timedOut = received is ReceiveResult.TimedOut
         call.cancel("the attempt was not admitted")
         if (timedOut) channels.retire(peer.address, channel)
         if (!call.wasSent) return AttemptResult.NotRun(NotRunReason.DAEMON_UNREACHABLE)
-        return when (fence(peer, channels.other(peer.address, channel), request.attemptId.text, sentMs)) {
-            FenceAnswer.State.NEVER_STARTED -> AttemptResult.NotRun(NotRunReason.FENCED)
-            else -> AttemptResult.Unknown(UnknownReason.CONNECTION_LOST)
-        }
+        val state = askWhetherStarted(peer, channels.other(peer.address, channel), request, progress)
+        val endedBy = if (timedOut) EndedBy.THIS_DAEMON else EndedBy.CONNECTION
+        log.write(request, peer, progress, endedBy, if (timedOut) "no response within $admitTimeoutMs ms" else received.cause())
+        val isFenced = state == FenceAnswer.State.NEVER_STARTED
+        if (isFenced) return AttemptResult.NotRun(NotRunReason.FENCED)
+        return AttemptResult.Unknown(if (timedOut) UnknownReason.NO_RESPONSE else UnknownReason.CONNECTION_LOST)
+    }
+
+    private fun ReceiveResult<AnswerFrame>.cause(): String =
+        if (this is ReceiveResult.Failed) cause else "the other daemon ended the stream without an answer"
+
+    private fun askWhetherStarted(
+        peer: Peer,
+        channel: ManagedChannel,
+        request: AttemptRequest,
+        progress: AttemptProgress,
+    ): FenceAnswer.State? {
+        progress.asked()
+        return fence(peer, channel, request.attemptId.text, progress.beganMs)?.also(progress::told)
     }
 
     // The caller gets its answer at its deadline, not after the check.
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeServer.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeServer.kt
@@ -1,12 +1,16 @@
 package org.endivestep.protocol
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.grpc.Status
 import io.grpc.stub.ServerCallStreamObserver
 import io.grpc.stub.StreamObserver
 import org.endivestep.egress.Egress
 import org.endivestep.egress.FenceResult
+import org.endivestep.exchange.monotonicMs
 import org.endivestep.identity.AttemptId
 import org.endivestep.identity.DaemonIncarnation
+import org.endivestep.metrics.LogEntry
+import org.endivestep.metrics.RateLimitedLog
 import org.endivestep.protocol.v1.AnswerFrame
 import org.endivestep.protocol.v1.Confirmation
 import org.endivestep.protocol.v1.ConfirmationReceipt
@@ -17,6 +21,8 @@
 import java.util.concurrent.Executor
 import java.util.concurrent.RejectedExecutionException
 
+private val logger = KotlinLogging.logger {}
+
 /** Accepts attempts from other daemons and runs them at the local worker. */
 internal class ExchangeServer(
     private val egress: Egress,
@@ -25,6 +31,7 @@
     private val notices: AdmissionNotices,
 ) : ExchangesGrpc.ExchangesImplBase() {
     private val questions = CallerQuestions()
+    private val log = RateLimitedLog(logger, LINES_PER_SECOND, ::monotonicMs)
 
     override fun exchange(responseObserver: StreamObserver<AnswerFrame>): StreamObserver<RequestFrame> {
         val stream = responseObserver as ServerCallStreamObserver<AnswerFrame>
@@ -57,10 +64,14 @@
             } else {
                 FenceAnswer.State.STARTED
             }
+        log.write { LogEntry("asked whether an attempt has started", fenceFields(request, state)) }
         responseObserver.onNext(FenceAnswer.newBuilder().setState(state).build())
         responseObserver.onCompleted()
     }
 
+    private fun fenceFields(request: FenceRequest, state: FenceAnswer.State): Map<String, Any> =
+        mapOf("attempt" to request.attemptId, "ageMs" to request.ageMs, "answer" to state.name)
+
     private fun start(run: ServedExchange, stream: ServerCallStreamObserver<AnswerFrame>) {
         try {
             runners.execute(run::serve)
@@ -87,5 +98,6 @@
 
     private companion object {
         const val PREFETCHED_FRAMES = 8
+        const val LINES_PER_SECOND = 50
     }
 }
