--- a/emulator/src/test/kotlin/org/endivestep/emulator/DepartingCallers.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/DepartingCallers.kt
@@ -18,6 +18,10 @@
     val status: Int,
     /** Whether the daemon ended the connection before the answer and before the caller's deadline. */
     val wasCutOff: Boolean = false,
+    /** Whether the answer is a worker's. */
+    val isWorkers: Boolean = false,
+    /** Whether the daemon takes no further request on the connection. */
+    val closesConnection: Boolean = false,
 )
 
 /** A connection to a daemon at [port] whose requests name [host]. */
@@ -29,19 +33,31 @@
      * Sends a request for [path] whose stated deadline is [deadlineMs], and waits for the answer until [patienceMs] have passed; closes the
      * connection unless one came.
      */
-    fun exchange(id: String, path: String, deadlineMs: Long, patienceMs: Long = deadlineMs): CallerEnd {
+    fun exchange(
+        id: String,
+        path: String,
+        deadlineMs: Long,
+        patienceMs: Long = deadlineMs,
+        method: String = "GET",
+        body: ByteArray = ByteArray(0),
+    ): CallerEnd {
         val sentNanos = System.nanoTime()
         var wasCutOff = false
+        var isWorkers = false
+        var closesConnection = false
         var status = 0
         try {
             if (!socket.isConnected) socket.connect(InetSocketAddress("127.0.0.1", port), patienceMs.toInt())
-            val head = "GET $path HTTP/1.1\r\nHost: $host\r\nX-Request-Id: $id\r\nX-Deadline-Ms: $deadlineMs\r\n\r\n"
-            socket.getOutputStream().write(head.toByteArray())
+            val length = if (body.isEmpty()) "" else "Content-Length: ${body.size}\r\n"
+            val head = "$method $path HTTP/1.1\r\nHost: $host\r\nX-Request-Id: $id\r\nX-Deadline-Ms: $deadlineMs\r\n$length\r\n"
+            socket.getOutputStream().write(head.toByteArray() + body)
             val spentMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos)
             socket.soTimeout = (patienceMs - spentMs).coerceAtLeast(1).toInt()
             val answer = RawHttpMessage.read(input)
             status = answer?.startLine?.split(' ')?.getOrNull(1)?.toIntOrNull() ?: 0
             wasCutOff = answer == null
+            isWorkers = answer?.header("X-Server-Stamp") != null
+            closesConnection = answer?.header("Connection").equals("close", ignoreCase = true)
         } catch (_: java.net.SocketTimeoutException) {
             // The caller's time is over.
         } catch (_: IOException) {
@@ -49,7 +65,7 @@
         } finally {
             if (status == 0) socket.close()
         }
-        return CallerEnd(id, sentNanos, System.nanoTime(), status, wasCutOff)
+        return CallerEnd(id, sentNanos, System.nanoTime(), status, wasCutOff, isWorkers, closesConnection)
     }
 
     override fun close() = socket.close()
