Ask the other daemon about an attempt before ending it

Cause, by class: an own timer ended work that another process may have begun, and asked about it afterwards. After a second without a frame the sending daemon cancelled the call, then fenced the attempt; the other daemon, behind by about that second, had just started it. Without an answer in 500 ms the outcome was unknown, also of what had never run.

Now silence is a reason to ask. The fence is sent over both connections while the attempt goes on: STARTED means wait on, NEVER_STARTED is a true refusal, and without an answer it is asked again until the deadline. An attempt is given up for silence only when another one is reserved (a worker, time, a retry paid for). An answer counts for 4 s, a second less than a start is remembered beyond the age that the question states, so that a question that is read late can't call a run request not run (found by the review). An upload for whose body no thread is free is sent by the thread of the request, where it was broken off after its worker had begun to take it; UploadWithoutThreadTest now expects the whole upload instead of an unknown outcome, which is stricter.

--- a/emulator/src/test/kotlin/org/endivestep/emulator/StoppedFleetProcessTest.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/StoppedFleetProcessTest.kt
@@ -61,6 +61,8 @@
             class Case(val name: String, val load: OrderLoad, val minAnswered: Int)
             StoppingFleet().use { fleet ->
                 val lost = mutableListOf<LostOrder>()
+                val refusedButRun = mutableListOf<String>()
+                val runTwice = mutableListOf<String>()
                 listOf(
                     Case("calm", OrderLoad(callers = 1, pauseMs = 800, stopIntervalMs = 700, changes = false), minAnswered = 300),
                     Case("with new configurations", OrderLoad(callers = 3, pauseMs = 300, stopIntervalMs = 500, changes = true), 600),
@@ -70,10 +72,14 @@
                     println("stopped fleet, ${case.name}: ${ended.figures}")
                     withClue("${case.name}: ${ended.figures}") { ended.answered shouldBeGreaterThanOrEqual case.minAnswered }
                     lost += ended.lost
+                    refusedButRun += ended.refusedButRun
+                    runTwice += ended.runTwice
                     fleet.awaitReady()
                 }
                 if (lost.isNotEmpty()) fleet.keepLogs()
                 withClue("lost") { lost.shouldBeEmpty() }
+                withClue("refused as not run, and run") { refusedButRun.shouldBeEmpty() }
+                withClue("run more than once") { runTwice.shouldBeEmpty() }
             }
         }
     })
@@ -97,6 +103,8 @@
 
 private class EndedOrders(val ends: Map<CallerEnd, PlatformNode>, runs: Collection<OrderRun>, stops: Stops) {
     private val runsById = runs.associateBy { it.id }
+    val runTwice = runs.groupingBy { it.id }.eachCount().filter { it.value > 1 }.keys
+    val refusedButRun = ends.keys.filter { it.status in refusals && !it.isWorkers && it.id in runsById }.map { it.id }
     val answered = ends.keys.count { it.isWorkers }
     val lost =
         ends.entries.mapNotNull { (end, node) ->
@@ -110,7 +118,7 @@
             val times = ends.keys.filter { it.isWorkers }.map { TimeUnit.NANOSECONDS.toMillis(it.leftNanos - it.sentNanos) }.sorted()
             return "$answered of ${ends.size} answered, median ${times.getOrNull(times.size / 2)} ms, 99 in 100 within " +
                 "${times.getOrNull(times.size * 99 / 100)} ms; others by status $statuses, 502 without a run $unrun; " +
-                "lost ${lost.size}, ${lost.count { it.isAroundStop }} around a stop of the daemon that took them: $lost"
+                "refused but run $refusedButRun, run twice $runTwice, lost ${lost.size}, ${lost.count { it.isAroundStop }} around a stop of the daemon that took them: $lost"
         }
 
     private fun CallerEnd.isBrokenOff(): Boolean {
@@ -120,30 +128,38 @@
 
     private companion object {
         const val BAD_GATEWAY = 502
+        val refusals = setOf(408, 421, 429, 503)
     }
 }
 
 /** A run of the order [id] at the worker of [node], until [endNanos]. */
 private class OrderRun(val id: String, val node: PlatformNode, val endNanos: Long)
 
-/** When daemons got SIGTERM, on the clock of [System.nanoTime]. */
+/** When a daemon got SIGTERM and when its process was gone, on the clock of [System.nanoTime]. */
+private class Stop(val signalNanos: Long) {
+    @Volatile
+    var exitNanos = Long.MAX_VALUE
+}
+
+/** The stops of all daemons. */
 private class Stops {
-    private val stopNanos = ConcurrentHashMap<PlatformNode, MutableCollection<Long>>()
+    private val stops = ConcurrentHashMap<PlatformNode, MutableCollection<Stop>>()
 
-    fun add(node: PlatformNode) {
-        stopNanos.computeIfAbsent(node) { ConcurrentLinkedQueue() } += System.nanoTime()
-    }
+    fun add(node: PlatformNode): Stop =
+        Stop(System.nanoTime()).also { stops.computeIfAbsent(node) { ConcurrentLinkedQueue() } += it }
 
-    fun isAround(end: CallerEnd, node: PlatformNode): Boolean = of(node).any { end.leftNanos - it in 0..AROUND_STOP_MS.toNanos() }
+    fun isAround(end: CallerEnd, node: PlatformNode): Boolean =
+        of(node).any { end.leftNanos - it.signalNanos in 0..AROUND_STOP_MS.toNanos() }
 
-    /** Whether the worker was still at work on a request when the grace period of one of its daemons ended. */
+    /** Whether the worker was still at work on a request when the grace period of one of its daemons ended, so that neither could wait. */
     fun excuse(end: CallerEnd, takenBy: PlatformNode, run: OrderRun): Boolean =
-        of(takenBy).any { isLate(run, it) && end.sentNanos - it <= LAST_SENT_MS.toNanos() } || of(run.node).any { isLate(run, it) }
-
-    private fun isLate(run: OrderRun, stopNanos: Long): Boolean =
-        run.endNanos - stopNanos in LATE_IN_GRACE_MS.toNanos()..AROUND_STOP_MS.toNanos()
+        (of(takenBy) + of(run.node)).any { stop ->
+            val sentInTime = end.sentNanos - stop.signalNanos <= LAST_SENT_MS.toNanos()
+            val livedOn = stop.exitNanos - stop.signalNanos >= LATE_IN_GRACE_MS.toNanos()
+            sentInTime && livedOn && run.endNanos - stop.signalNanos in LATE_IN_GRACE_MS.toNanos()..AROUND_STOP_MS.toNanos()
+        }
 
-    private fun of(node: PlatformNode): Collection<Long> = stopNanos[node].orEmpty()
+    private fun of(node: PlatformNode): Collection<Stop> = stops[node].orEmpty()
 
     private fun Long.toNanos() = TimeUnit.MILLISECONDS.toNanos(this)
 }
@@ -238,10 +254,11 @@
     // As the platform does it: SIGTERM, then SIGKILL after the grace period, then another start.
     private fun stop(node: PlatformNode, stops: Stops): Thread {
         val daemon = node.daemon
-        stops.add(node)
+        val stop = stops.add(node)
         signal(daemon, "TERM")
         return thread(isDaemon = true) {
             if (!daemon.waitFor(GRACE_MS, TimeUnit.MILLISECONDS)) daemon.destroyForcibly().waitFor()
+            stop.exitNanos = System.nanoTime()
             fleet.startDaemon(node)
         }
     }
--- a/endivestep/src/main/kotlin/org/endivestep/egress/AttemptRegistry.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/AttemptRegistry.kt
@@ -60,6 +60,8 @@
 
     companion object {
         const val STARTED_RETENTION_MS = 15_000L
-        private const val FENCE_MARGIN_MS = 5_000L
+
+        /** Time in ms that a question about an attempt may be on its way, there and back; a later answer may have forgotten the start. */
+        const val FENCE_MARGIN_MS = 5_000L
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/exchange/AttemptRequest.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/exchange/AttemptRequest.kt
@@ -54,6 +54,8 @@
     val cancellation: Cancellation = Cancellation(),
     val lease: CallerLease = CallerLease.unlimited(),
     val times: AttemptTimes = AttemptTimes(),
+    /** Reserves another attempt of the request, which must follow if this one is given up; returns false when none can. */
+    val reserveRepeat: () -> Boolean = { false },
 ) {
     init {
         require((body as? RequestBody.Streamed)?.isOpened != true) { "an attempt needs the whole body, and a part of it was read" }
@@ -69,13 +71,13 @@
     fun withStreamedBody(limit: Int): AttemptRequest {
         val bytes = (body as? RequestBody.Inline)?.bytes
         if (bytes == null || bytes.size <= limit) return this
-        return copy(RequestBody.Streamed(bytes.inputStream(), bytes.size.toLong()), cancellation)
+        return copy(RequestBody.Streamed(bytes.inputStream(), bytes.size.toLong()), cancellation, reserveRepeat)
     }
 
-    /** Returns this request with [cancellation] in place of its own. */
-    fun withCancellation(cancellation: Cancellation): AttemptRequest = copy(body, cancellation)
+    /** Returns this request with [cancellation] in place of its own, as one of two attempts that may run at a time; none follows for either. */
+    fun withCancellation(cancellation: Cancellation): AttemptRequest = copy(body, cancellation) { false }
 
-    private fun copy(body: RequestBody, cancellation: Cancellation) =
+    private fun copy(body: RequestBody, cancellation: Cancellation, reserveRepeat: () -> Boolean) =
         AttemptRequest(
             requestId,
             attemptId,
@@ -92,5 +94,6 @@
             cancellation,
             lease,
             times,
+            reserveRepeat,
         )
 }
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/AttemptHistory.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/AttemptHistory.kt
@@ -19,6 +19,9 @@
     /** Number of attempts that were refused before they reached a worker and were rerouted to another daemon. */
     var reroutes = 0
 
+    /** Whether the retry budget has already paid for the next attempt. */
+    var repeatIsPaid = false
+
     /** Whether a worker replied to an attempt, with an answer or with its own refusal. */
     var workerReplied = false
         private set
@@ -66,6 +69,9 @@
         trace += "retry-budget-exhausted"
     }
 
+    /** Returns whether the next attempt was paid for, which then is used up. */
+    fun takePaidRepeat(): Boolean = repeatIsPaid.also { repeatIsPaid = false }
+
     /**
      * Returns the result to report to the caller, or null before the first attempt. When any attempt may
      * have run, the request is never reported as not run.
--- a/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/ingress/Dispatcher.kt
@@ -76,7 +76,8 @@
             if (refusal != null) return history.outcome() ?: AttemptResult.NotRun(refusal)
             val route = chooseRoute(call, history) ?: return history.outcome() ?: AttemptResult.NotRun(NotRunReason.NO_WORKER)
             val repliedBefore = history.workerReplied
-            val result = attemptOn(route, request(call, attemptId, minOf(maxWaitMs(call, history), windowMs)), call, history)
+            val maxWaitMs = minOf(maxWaitMs(call, history), windowMs)
+            val result = attemptOn(route, request(call, attemptId, maxWaitMs) { reserveRepeat(call, history, route) }, call, history)
             if (result.isRefusedVersion()) history.noteRefusedVersion(route.version)
             call.trace = history.trace
             if (!continues(result, call, history, repliedBefore)) return checkNotNull(history.outcome())
@@ -92,7 +93,7 @@
         }
         if (history.workerReplied && !repliedBefore) budgets.noteReplied(call.service)
         if (nextStep(result, facts(call, history)) == NextStep.FINISH) return false
-        if (!consumesBudget(result) || budgets.trySpend(call.service)) return true
+        if (!consumesBudget(result) || history.takePaidRepeat() || budgets.trySpend(call.service)) return true
         history.noteBudgetExhausted()
         return false
     }
@@ -111,8 +112,12 @@
 
     private fun chooseRoute(call: IncomingCall, history: AttemptHistory): Route? {
         if (call.cancellation.isCancelled) throw InterruptedException("the caller has left")
-        val untried = lookup(call.service.name).filterNot { history.wasTried(it.candidate.vm) }
-        return chooseAmong(selectVersion(call.service.name, untried, history.refusedVersions), call)
+        return chooseAmong(untriedRoutes(call, history), call)
+    }
+
+    private fun untriedRoutes(call: IncomingCall, history: AttemptHistory, current: Route? = null): List<Route> {
+        val untried = lookup(call.service.name).filterNot { history.wasTried(it.candidate.vm) || it.candidate.vm == current?.candidate?.vm }
+        return selectVersion(call.service.name, untried, history.refusedVersions)
     }
 
     private fun chooseAmong(routes: List<Route>, call: IncomingCall): Route? {
@@ -196,7 +201,7 @@
         val isPaid = hedging.trySpend(call) { budgets.trySpend(call.service) }
         if (!isPaid) hedging.count(HedgeEvent.REFUSED_BUDGET)
         if (!isPaid || !run.claimSecond(route)) return endUnsent(route, call)
-        val request = request(call, AttemptId(randomId()), maxWaitMs = 0)
+        val request = request(call, AttemptId(randomId()), maxWaitMs = 0) { false }
         val started =
             hedging.run {
                 run.runSecond { second -> tryOnce(route, request.withCancellation(second.cancellation), second, isSecond = true) }
@@ -273,7 +278,15 @@
         return if (history.reroutes < rerouting.maxReroutes && hasOtherWorkers) rerouting.maxWaitMs else Long.MAX_VALUE
     }
 
-    private fun request(call: IncomingCall, attemptId: AttemptId, maxWaitMs: Long) =
+    // Called on the thread of the call, while the attempt at [current] runs, which is not in the history yet.
+    private fun reserveRepeat(call: IncomingCall, history: AttemptHistory, current: Route): Boolean {
+        val facts = facts(call, history).let { it.copy(attempts = it.attempts + 1, remainingMs = it.remainingMs - MIN_REPEAT_MS) }
+        val isAllowed = nextStep(AttemptResult.Unknown(UnknownReason.NO_RESPONSE), facts) != NextStep.FINISH
+        if (!isAllowed || refusal(call, sendWindowMs(call)) != null || untriedRoutes(call, history, current).isEmpty()) return false
+        return budgets.trySpend(call.service).also { history.repeatIsPaid = it }
+    }
+
+    private fun request(call: IncomingCall, attemptId: AttemptId, maxWaitMs: Long, reserveRepeat: () -> Boolean) =
         AttemptRequest(
             requestId = call.id,
             attemptId = attemptId,
@@ -289,6 +302,7 @@
             maxWaitMs = maxWaitMs,
             cancellation = call.cancellation,
             lease = call.lease,
+            reserveRepeat = reserveRepeat,
         )
 
     private companion object {
@@ -296,5 +310,8 @@
         val reroutableReasons =
             unreachableReasons + setOf(NotRunReason.OVERLOADED, NotRunReason.QUEUE_TIMEOUT, NotRunReason.COLD, NotRunReason.DELAYED)
         const val AVOID_MS = 1_000L
+
+        /** Time in ms without which an attempt is not given up for another one. */
+        const val MIN_REPEAT_MS = 100L
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/AdmissionNotices.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/AdmissionNotices.kt
@@ -15,7 +15,7 @@
 /**
  * Sends the notices of admission that are due, on a thread of its own.
  *
- * The sender of an attempt fences it when nothing comes back within [ADMIT_TIMEOUT_MS]. Most answers begin long
+ * The sender of an attempt asks about it when nothing comes back within [ADMIT_TIMEOUT_MS]. Most answers begin long
  * before that and then need no notice, which would cost each request another message in each direction.
  */
 internal class AdmissionNotices(private val clockMs: () -> Long, private val noticeAgeMs: Long = NOTICE_AGE_MS) {
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/AttemptProgress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/AttemptProgress.kt
@@ -31,17 +31,17 @@
     var told: FenceAnswer.State? = null
         private set
 
-    fun admitted() {
+    fun noteAdmitted() {
         admittedMs = monotonicMs()
     }
 
     @Synchronized
-    fun asked() {
+    fun noteAsked() {
         if (askedMs == null) askedMs = monotonicMs()
     }
 
     @Synchronized
-    fun told(state: FenceAnswer.State) {
+    fun noteTold(state: FenceAnswer.State) {
         if (told != null) return
         toldMs = monotonicMs()
         told = state
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeCall.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeCall.kt
@@ -77,6 +77,9 @@
 
     fun next(timeoutMs: Long): ReceiveResult<AnswerFrame> = inbox.next(timeoutMs)
 
+    /** Ends a wait in [next] early. */
+    fun wake() = inbox.wake()
+
     fun cancel(cause: String) = call.cancel(cause, null)
 
     /** Sends the body. A body that fails cancels the call, so that the receiver cannot take it for complete. */
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeLog.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeLog.kt
@@ -12,11 +12,12 @@
 internal enum class EndedBy(val text: String) {
     THIS_DAEMON("this daemon"),
     CONNECTION("the connection"),
+    OTHER_DAEMON("the other daemon"),
 }
 
 /**
- * Writes a line for each attempt at another daemon that ended without an answer and without that daemon's word on why: which side ended
- * it, and what this daemon had heard of it by then. Times in the lines are in ms since the attempt was begun. Rate-limited.
+ * Writes a line for each attempt at another daemon that ended without an answer on its stream: which side ended it, and what this daemon had
+ * heard of it by then. Times in the lines are in ms since the attempt was begun. Rate-limited.
  */
 internal class ExchangeLog {
     private val log = RateLimitedLog(logger, LINES_PER_SECOND, ::monotonicMs)
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/FrameInbox.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/FrameInbox.kt
@@ -1,6 +1,7 @@
 package org.endivestep.protocol
 
 import org.endivestep.concurrent.MpscQueue
+import org.endivestep.exchange.monotonicMs
 import java.util.concurrent.atomic.AtomicReference
 
 /**
@@ -22,6 +23,11 @@
         if (end.compareAndSet(null, result)) queue.offer(result)
     }
 
+    /** Ends a wait in [next] early. */
+    fun wake() {
+        queue.offer(ReceiveResult.Woken)
+    }
+
     /** Waits for the next frame; after the last frame, every call returns the end of the stream. */
     fun next(timeoutMs: Long): ReceiveResult<T> {
         val result = queue.poll(if (end.get() == null) timeoutMs.coerceAtLeast(0) else 0)
@@ -31,13 +37,21 @@
 
     /** Waits at most [timeoutMs] for the next body frame, which [convert] extracts from the frame of the stream. */
     fun nextBodyFrame(timeoutMs: Long, convert: (T) -> BodyFrame): BodyFrame =
-        when (val result = next(timeoutMs)) {
+        when (val result = nextUnlessWoken(timeoutMs)) {
             is ReceiveResult.Frame -> convert(result.frame)
             is ReceiveResult.Failed -> BodyFrame.Failed(result.cause)
             ReceiveResult.Completed -> BodyFrame.Failed("the stream ended before the end frame")
-            ReceiveResult.TimedOut -> BodyFrame.TimedOut
+            ReceiveResult.TimedOut, ReceiveResult.Woken -> BodyFrame.TimedOut
         }
 
+    private fun nextUnlessWoken(timeoutMs: Long): ReceiveResult<T> {
+        val untilMs = monotonicMs() + timeoutMs
+        while (true) {
+            val result = next(untilMs - monotonicMs())
+            if (result != ReceiveResult.Woken) return result
+        }
+    }
+
     private companion object {
         const val QUEUE_CAPACITY = 64
     }
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/PeerChannels.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/PeerChannels.kt
@@ -56,7 +56,7 @@
         }
 
         @Synchronized
-        fun other(channel: ManagedChannel): ManagedChannel = channels.first { it !== channel }
+        fun both(): List<ManagedChannel> = channels.toList()
 
         @Synchronized
         fun replace(channel: ManagedChannel) {
@@ -81,8 +81,8 @@
     /** Returns the clock of the run of [peer] to which the connections lead. */
     fun clock(peer: Address): PeerClock = channelPair(peer).clock
 
-    /** Returns a connection to [peer] that is not [channel]. */
-    fun other(peer: Address, channel: ManagedChannel): ManagedChannel = channelPair(peer).other(channel)
+    /** Returns both connections to [peer]. */
+    fun both(peer: Address): List<ManagedChannel> = channelPair(peer).both()
 
     /** Replaces [channel] because it became unresponsive; calls in progress on it may still complete. */
     fun retire(peer: Address, channel: ManagedChannel) = channelPair(peer).replace(channel)
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ReceiveResult.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ReceiveResult.kt
@@ -11,4 +11,7 @@
 
     /** No frame was received within the timeout. */
     data object TimedOut : ReceiveResult<Nothing>
+
+    /** The wait was ended by [FrameInbox.wake]. */
+    data object Woken : ReceiveResult<Nothing>
 }
--- a/endivestep/src/test/kotlin/org/endivestep/fakes/WireFixture.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/fakes/WireFixture.kt
@@ -19,18 +19,37 @@
 import org.endivestep.settings.Address
 import java.io.Closeable
 import java.net.InetSocketAddress
+import java.util.concurrent.Executor
 import java.util.concurrent.Executors
 import java.util.concurrent.atomic.AtomicInteger
 
 private const val SECRET = "a secret of the tests"
 
 /** An egress behind a gRPC server, and a client that connects through a TCP proxy. */
-internal class WireFixture(val fixture: EgressFixture, secret: String = SECRET, admitTimeoutMs: Long = ADMIT_TIMEOUT_MS) : Closeable {
+internal class WireFixture(
+    val fixture: EgressFixture,
+    secret: String = SECRET,
+    admitTimeoutMs: Long = ADMIT_TIMEOUT_MS,
+    noticeAgeMs: Long = ADMIT_TIMEOUT_MS / 3,
+    /** Time in ms for which each attempt waits for a thread. */
+    startDelayMs: Long = 0,
+) : Closeable {
     private val threads = Executors.newCachedThreadPool()
+    private val runners =
+        Executor { task ->
+            threads.execute {
+                Thread.sleep(startDelayMs)
+                task.run()
+            }
+        }
+
+    /** Incarnation of the daemon that the client calls. */
+    @Volatile
+    var currentIncarnation = incarnation
 
     /** Number of exchanges whose headers were received by the server. */
     val exchanges = AtomicInteger()
-    private val notices = AdmissionNotices(::monotonicMs, noticeAgeMs = ADMIT_TIMEOUT_MS / 3).also { it.start() }
+    private val notices = AdmissionNotices(::monotonicMs, noticeAgeMs).also { it.start() }
     private val server: Server =
         NettyServerBuilder
             .forAddress(InetSocketAddress("127.0.0.1", 0))
@@ -48,7 +67,7 @@
                 },
             )
             .callExecutor(callExecutorSupplier(threads))
-            .addService(ExchangeServer(fixture.egress, { incarnation }, threads, notices))
+            .addService(ExchangeServer(fixture.egress, { currentIncarnation }, runners, notices))
             .build()
             .start()
     val proxy = TcpProxy(server.port)
