Take a daemon that has raised its generation for the same run

An attempt or a question that names an earlier generation of the same process was told OTHER_INCARNATION, although that process knows the attempt: the question was then unanswerable, and its request ended as unknown. Both now compare the run.

--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeServer.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeServer.kt
@@ -9,6 +9,7 @@
 import org.endivestep.exchange.monotonicMs
 import org.endivestep.identity.AttemptId
 import org.endivestep.identity.DaemonIncarnation
+import org.endivestep.membership.runId
 import org.endivestep.metrics.LogEntry
 import org.endivestep.metrics.RateLimitedLog
 import org.endivestep.protocol.v1.AnswerFrame
@@ -57,7 +58,7 @@
 
     override fun fence(request: FenceRequest, responseObserver: StreamObserver<FenceAnswer>) {
         val state =
-            if (request.daemonIncarnation != incarnation().text) {
+            if (DaemonIncarnation(request.daemonIncarnation).runId != incarnation().runId) {
                 FenceAnswer.State.OTHER_INCARNATION
             } else if (egress.fence(AttemptId(request.attemptId), request.ageMs) == FenceResult.NEVER_STARTED) {
                 FenceAnswer.State.NEVER_STARTED
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ServedExchange.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ServedExchange.kt
@@ -21,6 +21,7 @@
 import org.endivestep.identity.RequestId
 import org.endivestep.identity.ServiceName
 import org.endivestep.identity.TeamName
+import org.endivestep.membership.runId
 import org.endivestep.outcome.AttemptResult
 import org.endivestep.outcome.NotRunReason
 import org.endivestep.protocol.v1.Admitted
@@ -86,7 +87,7 @@
         val first = inbox.next(HEAD_TIMEOUT_MS) as? ReceiveResult.Frame ?: throw IOException("no request head received")
         if (!first.frame.hasHead()) throw IOException("the first frame is not a request head")
         val head = first.frame.head
-        if (head.daemonIncarnation != incarnation().text) {
+        if (DaemonIncarnation(head.daemonIncarnation).runId != incarnation().runId) {
             finish(AttemptResult.NotRun(NotRunReason.OTHER_INCARNATION), head)
             return
         }
