Read what an earlier run of a daemon had sent before its calls are cancelled

The connections now take no new calls, and what is left is cancelled 300 ms later; the existing test that a call to a run that lost power ends within a second holds.

PeerRestartTest, 'an answer that an earlier run had sent', fails before (Unknown in place of Answered).

--- a/endivestep/src/main/kotlin/org/endivestep/protocol/PeerChannels.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/PeerChannels.kt
@@ -36,8 +36,8 @@
         var clock = PeerClock()
             private set
 
-        // Connections to an earlier run of the daemon are dead, and after a refused connection gRPC waits for a
-        // second before it connects again, so both channels are replaced when the daemon has restarted.
+        // Connections to an earlier run of the daemon bring only what it had sent, and after a refused connection gRPC
+        // waits for a second before it connects again, so both channels are replaced when the daemon has restarted.
         @Synchronized
         fun next(incarnation: DaemonIncarnation): ManagedChannel {
             val known = this.incarnation
@@ -50,7 +50,9 @@
         fun next(): ManagedChannel = channels[Math.floorMod(nextIndex.getAndIncrement(), channels.size)]
 
         private fun reopen() {
-            channels.forEach { it.shutdownNow() }
+            val earlier = channels.toList()
+            earlier.forEach { it.shutdown() }
+            loops.schedule({ earlier.forEach { it.shutdownNow() } }, LAST_ANSWERS_MS, TimeUnit.MILLISECONDS)
             channels.indices.forEach { channels[it] = open(address) }
             clock = PeerClock()
         }
@@ -75,7 +77,7 @@
 
     fun next(peer: Address): ManagedChannel = channelPair(peer).next()
 
-    /** Returns a connection to the incarnation that [peer] names; if that is a newer run, calls to the earlier run are cancelled. */
+    /** Returns a connection to the incarnation that [peer] names; if that is a newer run, calls to the earlier run end soon. */
     fun next(peer: Peer): ManagedChannel = channelPair(peer.address).next(peer.incarnation)
 
     /** Returns the clock of the run of [peer] to which the connections lead. */
@@ -127,6 +129,9 @@
         const val KEEP_ALIVE_SECONDS = 10L
         const val KEEP_ALIVE_TIMEOUT_SECONDS = 2L
         const val IDLE_MINUTES = 5L
+
+        /** Time in ms for reading what an earlier run of a daemon had sent, which may lie in the socket of a daemon that is behind. */
+        const val LAST_ANSWERS_MS = 300L
         const val FLOW_WINDOW_BYTES = 262_144
     }
 }
--- a/endivestep/src/test/kotlin/org/endivestep/protocol/ExchangeWireTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/protocol/ExchangeWireTest.kt
@@ -36,7 +36,7 @@
 private fun AttemptResult.bodyBytes(): ByteArray = (this as AttemptResult.Answered).body.use { it.readAllBytes() }
 
 /** Blocks the transport thread of [channel] until [release] is counted down. */
-private fun stallTransport(channel: Channel, release: CountDownLatch) {
+internal fun stallTransport(channel: Channel, release: CountDownLatch) {
     val stalled = CountDownLatch(1)
     val request = FenceRequest.newBuilder().setAttemptId("stall").setDaemonIncarnation(WireFixture.incarnation.text).build()
     ExchangesGrpc.newStub(channel).fence(
--- a/endivestep/src/test/kotlin/org/endivestep/protocol/PeerRestartTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/protocol/PeerRestartTest.kt
@@ -22,6 +22,7 @@
 import java.util.concurrent.Callable
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.Executors
+import java.util.concurrent.Semaphore
 import java.util.concurrent.TimeUnit
 
 private const val SECRET = "a secret of the tests"
@@ -33,7 +34,7 @@
 private class RestartFixture : Closeable {
     val threads = Executors.newCachedThreadPool()
     private val servers = mutableListOf<Server>()
-    private val channels = PeerChannels(PeerAuthentication(SECRET))
+    val channels = PeerChannels(PeerAuthentication(SECRET))
     private val notices = AdmissionNotices(::monotonicMs).also { it.start() }
     val client = ExchangeClient(channels, threads)
 
@@ -78,21 +79,52 @@
             }
         }
 
-        test("calls in progress continue when a run raises its generation") {
+        test("calls in progress continue when a run raises its generation, and so do calls to either generation") {
             RestartFixture().use { fixture ->
-                val running = CountDownLatch(1)
+                val running = Semaphore(0)
                 val release = CountDownLatch(1)
                 val slow =
                     EgressFixture { local, request ->
-                        running.countDown()
+                        running.release()
                         release.await(20, TimeUnit.SECONDS)
                         answering()(local, request)
                     }
                 val address = Address("127.0.0.1", fixture.start(0, slow, firstRun))
                 val kept = fixture.threads.submit(Callable { fixture.client.attempt(Peer(address, firstRun), sampleAttempt("kept")) })
+                running.tryAcquire(5, TimeUnit.SECONDS) shouldBe true
+                val after =
+                    fixture.threads.submit(
+                        Callable {
+                            fixture.client.attempt(Peer(address, firstRunHigherGeneration), sampleAttempt("after"))
+                        },
+                    )
+                running.tryAcquire(5, TimeUnit.SECONDS) shouldBe true
+                release.countDown()
+                listOf(kept, after).forEach { it.get(9, TimeUnit.SECONDS).shouldBeInstanceOf<AttemptResult.Answered>() }
+            }
+        }
+
+        // Guards against an answer that lies unread in a socket, and is discarded because its sender has started again (issue 57).
+        test("an answer that an earlier run had sent is received, although the next run is known already") {
+            RestartFixture().use { fixture ->
+                val running = CountDownLatch(1)
+                val release = CountDownLatch(1)
+                val slow =
+                    EgressFixture { local, request ->
+                        running.countDown()
+                        release.await(20, TimeUnit.SECONDS)
+                        answering()(local, request)
+                    }
+                val peer = Peer(Address("127.0.0.1", fixture.start(0, slow, firstRun)), firstRun)
+                val kept = fixture.threads.submit(Callable { fixture.client.attempt(peer, sampleAttempt("kept")) })
                 running.await(5, TimeUnit.SECONDS) shouldBe true
-                fixture.client.attempt(Peer(address, firstRunHigherGeneration), sampleAttempt("after"))
+                val resume = CountDownLatch(1)
+                repeat(2) { stallTransport(fixture.channels.next(peer), resume) }
                 release.countDown()
+                Thread.sleep(200)
+                fixture.threads.submit { fixture.client.attempt(peer.copy(incarnation = secondRun), sampleAttempt("after")) }
+                Thread.sleep(100)
+                resume.countDown()
                 kept.get(9, TimeUnit.SECONDS).shouldBeInstanceOf<AttemptResult.Answered>()
             }
         }
