Take a daemon for dead only after 20 s without an answer to a ping

Same class: gRPC's keep-alive ended all calls of a connection when the other daemon's event loop did not answer a ping for 2 s, while its workers were at work.

SlowKeepAliveTest fails before (Unknown after 13.7 s in place of Answered).

--- a/endivestep/src/main/kotlin/org/endivestep/protocol/PeerChannels.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/PeerChannels.kt
@@ -127,7 +127,9 @@
     private companion object {
         const val EVENT_LOOP_THREADS = 2
         const val KEEP_ALIVE_SECONDS = 10L
-        const val KEEP_ALIVE_TIMEOUT_SECONDS = 2L
+
+        // A daemon that is behind is not dead: a longer silence ends all calls of the connection, also those at which workers are at work.
+        const val KEEP_ALIVE_TIMEOUT_SECONDS = 20L
         const val IDLE_MINUTES = 5L
 
         /** Time in ms for reading what an earlier run of a daemon had sent, which may lie in the socket of a daemon that is behind. */
