Wait for a silent worker until the deadline, not for 30 s

Same class, found by reading and by the review: the daemon that took a request gave up a part of an answer, or an upload that its worker does not read, after 30 s of silence, and so did the own interface's client for workers, within a longer deadline. Both wait until the deadline now. The wait for the end of an answer that was read whole is bounded by the deadline as well, if that is longer than a second. The daemon beside the worker still gives up an upload whose sender is silent for 30 s: that is no worker's silence.

--- a/endivestep/src/main/kotlin/org/endivestep/egress/AnswerReader.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/AnswerReader.kt
@@ -54,8 +54,8 @@
 
     private fun waitMs(): Long {
         // The end of a whole response is about to be queued, if it is not queued yet.
-        if (connection.hasWholeResponse) return WHOLE_RESPONSE_WAIT_MS
         val leftMs = remainingMs()
+        if (connection.hasWholeResponse) return maxOf(leftMs, WHOLE_RESPONSE_WAIT_MS)
         if (leftMs <= 0) failTruncated("it did not end before the deadline")
         return leftMs
     }
--- a/endivestep/src/main/kotlin/org/endivestep/egress/JettyWorkerCall.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/JettyWorkerCall.kt
@@ -60,8 +60,9 @@
                 fields.put(OutcomeHeaders.SERVICE, attempt.service.text)
                 fields.put(OutcomeHeaders.DEADLINE, remainingMs().toString())
             }.onRequestBegin { requestStarted.set(true) }
-            // Bounds the whole exchange, the body of the answer included.
+            // Bounds the whole exchange, the body of the answer included, and so may the worker's silence.
             .timeout(remainingMs(), TimeUnit.MILLISECONDS)
+            .idleTimeout(remainingMs(), TimeUnit.MILLISECONDS)
 
     fun run(): WorkerResult {
         attachBody()
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeCall.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeCall.kt
@@ -105,12 +105,12 @@
         BodyInputStream({ nextBodyFrame(onSilence) }) { complete -> if (!complete) cancel("the answer body was closed before its end") }
 
     private fun send(frame: RequestFrame) {
-        gate.await(transferWaitMs(deadline))
+        gate.await(answerWaitMs(deadline))
         call.sendMessage(frame)
     }
 
     private fun nextBodyFrame(onSilence: () -> Unit): BodyFrame {
-        val frame = inbox.nextBodyFrame(transferWaitMs(deadline), ::bodyFrame)
+        val frame = inbox.nextBodyFrame(answerWaitMs(deadline), ::bodyFrame)
         if (frame == BodyFrame.TimedOut) onSilence()
         return frame
     }
