Send the last responses to other daemons before a daemon exits

It now ends its server gracefully, for up to a second of what is left of its grace period, and says so when that was not enough.

--- a/endivestep/src/main/kotlin/org/endivestep/daemon/Daemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/Daemon.kt
@@ -54,7 +54,6 @@
 import org.endivestep.store.httpObjectStore
 import java.net.DatagramSocket
 import java.net.InetAddress
-import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
 import java.util.random.RandomGenerator
 
@@ -183,7 +182,7 @@
         gossip.updateSelf { it.copy(state = MemberState.LEFT) }
         awaitClaims()
         stopBackgroundTasks()
-        innerServer.shutdown().awaitTermination(1, TimeUnit.SECONDS)
+        innerServer.endCalls(LAST_RESPONSES_MS)
         peerParts.channels.close()
         logger.info { "daemon ${settings.vm.text} has left; drained: $drained" }
         return drained
@@ -257,6 +256,7 @@
 
     private companion object {
         const val LEFT_PROPAGATION_MS = 300L
+        const val LAST_RESPONSES_MS = 1_000L
         const val IDLE_CHECK_MS = 20L
         const val CLAIMS_WAIT_MS = 5_000L
         const val HOUSEKEEPING_PERIOD_MS = 60_000L
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/GracefulShutdown.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/GracefulShutdown.kt
@@ -1,5 +1,6 @@
 package org.endivestep.daemon
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import org.endivestep.egress.Egress
 import org.endivestep.egress.InFlightRequests
 import org.endivestep.exchange.monotonicMs
@@ -9,6 +10,8 @@
 import org.endivestep.membership.Gossip
 import org.endivestep.membership.MemberState
 
+private val logger = KotlinLogging.logger {}
+
 /**
  * Stops a daemon on the platform without cutting off requests in flight: notifies peers, serves new
  * requests until the platform has noticed that the daemon is not ready, and waits for requests in flight.
@@ -20,6 +23,8 @@
     private val callers: NettyCallerServer,
     private val inFlight: InFlightRequests,
     private val stopTime: StopTime,
+    /** Waits at most the given time in ms until the responses to other daemons have been sent; returns whether they have. */
+    private val endPeerCalls: (timeoutMs: Long) -> Boolean,
 ) {
     /** Blocks for at most [timeoutMs]; returns whether all requests in flight ended. */
     fun run(timeoutMs: Long): Boolean {
@@ -37,6 +42,9 @@
         val drained = awaitIdle(untilMs + LISTENER_CLOSE_MS)
         gossip.updateSelf { it.copy(state = MemberState.LEFT) }
         Thread.sleep(LEFT_PROPAGATION_MS)
+        // A run has ended when its answer was read from the worker, which an event loop that is behind sends on much later.
+        val areSent = endPeerCalls((untilMs - monotonicMs()).coerceIn(MIN_LAST_RESPONSES_MS, MAX_LAST_RESPONSES_MS))
+        if (!areSent) logger.info { "the connections of other daemons have not ended in time" }
         return drained
     }
 
@@ -56,6 +64,8 @@
         const val EXIT_MARGIN_MS = 600L
         const val LEFT_PROPAGATION_MS = 100L
         const val LISTENER_CLOSE_MS = 200L
+        const val MIN_LAST_RESPONSES_MS = 100L
+        const val MAX_LAST_RESPONSES_MS = 1_000L
         const val IDLE_CHECK_MS = 20L
     }
 }
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -263,6 +263,7 @@
             servers.callers,
             workerParts.inFlight,
             stopTime,
+            innerServer::endCalls,
         ).run(settings.bounds.stopTimeoutMs)
         logger.info { "daemon ${settings.vm.text} has left; drained: $drained" }
         return drained
