Await a worker's answer while its deadline may not have passed

What callers saw: a 504 up to 800 ms before their deadline, in place of the answer of a worker that was at work. Same class: when a head was sent is known only as a bound from below, by the fastest message of the other daemon; on connections that have only had slow ones, as after starts under load, the daemon beside the worker counted up to 1.6 s of the request's time as its way, and ended the work then.

The early bound still decides what may be sent to a worker and what time the worker is told. The answer is now awaited until the deadline can't lie any later; the sender, which knows it, cancels the call at its deadline, as before.

NettyWorkerCallTest has a case for it.

--- a/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/Egress.kt
@@ -223,7 +223,7 @@
     private fun failureEnding(request: AttemptRequest): AnswerEnding =
         when {
             request.cancellation.isCancelled -> AnswerEnding.ABANDONED
-            request.deadline.remainingMs(nowMs()) <= 0 -> AnswerEnding.OVERDUE
+            request.answerDeadline.remainingMs(nowMs()) <= 0 -> AnswerEnding.OVERDUE
             else -> AnswerEnding.TRUNCATED
         }
 
--- a/endivestep/src/main/kotlin/org/endivestep/egress/JettyWorkerCall.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/JettyWorkerCall.kt
@@ -61,14 +61,14 @@
                 fields.put(OutcomeHeaders.DEADLINE, remainingMs().toString())
             }.onRequestBegin { requestStarted.set(true) }
             // Bounds the whole exchange, the body of the answer included, and so may the worker's silence.
-            .timeout(remainingMs(), TimeUnit.MILLISECONDS)
-            .idleTimeout(remainingMs(), TimeUnit.MILLISECONDS)
+            .timeout(answerRemainingMs(), TimeUnit.MILLISECONDS)
+            .idleTimeout(answerRemainingMs(), TimeUnit.MILLISECONDS)
 
     fun run(): WorkerResult {
         attachBody()
         request.send(listener)
         return try {
-            answered(listener.get(remainingMs(), TimeUnit.MILLISECONDS))
+            answered(listener.get(answerRemainingMs(), TimeUnit.MILLISECONDS))
         } catch (e: TimeoutException) {
             request.abort(e)
             failure("no answer before the deadline", timedOut = true)
@@ -82,7 +82,9 @@
 
     private fun remainingMs(): Long = attempt.deadline.remainingMs(monotonicMs()).coerceAtLeast(1)
 
-    private fun isOverdue(): Boolean = attempt.deadline.remainingMs(monotonicMs()) <= 0
+    private fun answerRemainingMs(): Long = attempt.answerDeadline.remainingMs(monotonicMs()).coerceAtLeast(1)
+
+    private fun isOverdue(): Boolean = attempt.answerDeadline.remainingMs(monotonicMs()) <= 0
 
     private fun attachBody() {
         val type = attempt.headers.firstOrNull { it.name.equals("content-type", ignoreCase = true) }?.value
--- a/endivestep/src/main/kotlin/org/endivestep/egress/NettyWorkerCall.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/egress/NettyWorkerCall.kt
@@ -76,7 +76,7 @@
 
     // A body that took until the deadline ends with its connection, and so does an exchange that is cancelled.
     private fun failed(cause: String): WorkerResult =
-        if (attempt.cancellation.isCancelled) WorkerResult.Cancelled else WorkerResult.Failed(cause, timedOut = remainingMs() <= 0)
+        if (attempt.cancellation.isCancelled) WorkerResult.Cancelled else WorkerResult.Failed(cause, timedOut = answerRemainingMs() <= 0)
 
     private fun release(connection: HttpConnection) {
         synchronized(currentLock) { current = null }
@@ -89,8 +89,8 @@
             return WorkerResult.Expired
         }
         synchronized(currentLock) { current = connection }
-        connection.send(head(), attempt.body, remainingMs(), ::mayWrite)
-        return when (val event = connection.next(remainingMs().coerceAtLeast(1))) {
+        connection.send(head(), attempt.body, answerRemainingMs(), ::mayWrite)
+        return when (val event = connection.next(answerRemainingMs().coerceAtLeast(1))) {
             HttpResponseEvent.NotSent -> {
                 release(connection)
                 WorkerResult.Expired
@@ -126,7 +126,7 @@
     private fun answered(connection: HttpConnection, head: AnswerHead): WorkerResult {
         val attribution = attributionOf(head)
         if (attribution is AnswerAttribution.Unproved) return unattributed(connection, head, attribution.cause)
-        val body = AnswerReader(connection, ::remainingMs) { release(connection) }
+        val body = AnswerReader(connection, ::answerRemainingMs) { release(connection) }
         if ((head.contentLength ?: 0) > MAX_BUFFERED_BYTES) return WorkerResult.Answered(head, body, connection::close)
         return buffered(body.readNBytes(MAX_BUFFERED_BYTES + 1), connection, head, body)
     }
@@ -167,6 +167,8 @@
 
     private fun remainingMs(): Long = attempt.deadline.remainingMs(monotonicMs())
 
+    private fun answerRemainingMs(): Long = attempt.answerDeadline.remainingMs(monotonicMs())
+
     private companion object {
         const val MAX_BUFFERED_BYTES = 65_536
     }
--- a/endivestep/src/main/kotlin/org/endivestep/exchange/AttemptRequest.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/exchange/AttemptRequest.kt
@@ -56,6 +56,11 @@
     val times: AttemptTimes = AttemptTimes(),
     /** Reserves another attempt of the request, which must follow if this one is given up; returns false when none can. */
     val reserveRepeat: () -> Boolean = { false },
+    /**
+     * Until when an answer is awaited: [deadline], or later where that is only a bound from below. The sender of the request, which knows
+     * the deadline, cancels it then.
+     */
+    val answerDeadline: Deadline = deadline,
 ) {
     init {
         require((body as? RequestBody.Streamed)?.isOpened != true) { "an attempt needs the whole body, and a part of it was read" }
@@ -95,5 +100,6 @@
             lease,
             times,
             reserveRepeat,
+            answerDeadline,
         )
 }
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ServedExchange.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ServedExchange.kt
@@ -97,7 +97,7 @@
             return
         }
         val request = request(head, sending)
-        deadline = request.deadline
+        deadline = request.answerDeadline
         finish(egress.run(request) { admitted(head) }, head)
     }
 
@@ -151,24 +151,34 @@
         sender.send(result.body)
     }
 
-    /** When the head of an attempt was sent or earlier, and what was known then of its request; times are on the clock of [monotonicMs]. */
-    private class Sending(val sentMs: Long, val remainingMs: Long, val leaseRenewedMs: Long, val isKnown: Boolean = true)
+    /**
+     * When the head of an attempt was sent or earlier, when it was sent at the latest, and what was known then of its request; times are on
+     * the clock of [monotonicMs].
+     */
+    private class Sending(
+        val sentMs: Long,
+        val latestMs: Long,
+        val remainingMs: Long,
+        val leaseRenewedMs: Long,
+        val isKnown: Boolean = true,
+    )
 
     /**
      * Returns what is known of the sending of [head]. A sender that cannot tell is asked, because the head may have waited for any time;
      * if it does not answer, returns null.
      */
     private fun sendingOf(head: RequestHead): Sending? {
-        if (!head.confirms) return Sending(arrivedMs, head.remainingMs, leaseRenewedMs = CallerLease.FOREVER_MS, isKnown = false)
+        if (!head.confirms) return Sending(arrivedMs, arrivedMs, head.remainingMs, CallerLease.FOREVER_MS, isKnown = false)
         // A clock that was suspended makes the head seem to come from the future.
         if (head.hasSentAtMs() && head.sentAtMs <= arrivedMs) {
-            return Sending(head.sentAtMs, head.remainingMs, head.sentAtMs - head.leaseAgeMs)
+            return Sending(head.sentAtMs, arrivedMs, head.remainingMs, head.sentAtMs - head.leaseAgeMs)
         }
         val askedMs = monotonicMs()
         val answer = CompletableFuture<Long>()
         ask(answer::complete)
         return try {
-            Sending(askedMs, answer.get(CallerLease.DURATION_MS, TimeUnit.MILLISECONDS), askedMs, isKnown = false)
+            val remainingMs = answer.get(CallerLease.DURATION_MS, TimeUnit.MILLISECONDS)
+            Sending(askedMs, monotonicMs(), remainingMs, askedMs, isKnown = false)
         } catch (_: TimeoutException) {
             null
         }
@@ -203,6 +213,7 @@
             cancellation = cancellation,
             lease = CallerLease(sending.leaseRenewedMs) { onPresent -> ask { onPresent() } },
             times = AttemptTimes(arrivedMs, if (sending.isKnown) arrivedMs - sentMs else null),
+            answerDeadline = Deadline(sending.latestMs + sending.remainingMs),
         )
     }
 
--- a/endivestep/src/test/kotlin/org/endivestep/egress/NettyWorkerCallTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/egress/NettyWorkerCallTest.kt
@@ -6,6 +6,7 @@
 import org.endivestep.exchange.AttemptRequest
 import org.endivestep.exchange.RequestBody
 import org.endivestep.exchange.monotonicMs
+import org.endivestep.fakes.ScriptedWorker
 import org.endivestep.fakes.WorkerCallFixture
 import org.endivestep.fakes.WorkerConnection
 import org.endivestep.fakes.answerText
@@ -101,6 +102,20 @@
             }
         }
 
+        // Guards against an answer that is given up before its deadline, because when the request was sent is not exactly known (issue 57).
+        test("an answer is awaited while the deadline may not have passed") {
+            val script: WorkerConnection.() -> Unit = {
+                val id = readRequest()
+                Thread.sleep(500)
+                send(answerText(id, "late"))
+                awaitClose()
+            }
+            ScriptedWorker(script = script).use { worker ->
+                val request = workerRequest("1", remainingMs = 200, answerRemainingMs = 2_000)
+                withCall(worker.address) { send -> send(request) } shouldBe "200 late"
+            }
+        }
+
         // Guards against an upload that is never answered, because its worker or its caller has stopped while the body is sent.
         test("a request whose body is not sent by the deadline times out, whichever side holds it up") {
             class Case(val name: String, val body: RequestBody.Streamed)
--- a/endivestep/src/test/kotlin/org/endivestep/fakes/WorkerCallFixture.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/fakes/WorkerCallFixture.kt
@@ -46,6 +46,7 @@
     method: String = "GET",
     body: RequestBody = RequestBody.Inline(ByteArray(0)),
     lease: CallerLease = CallerLease.unlimited(),
+    answerRemainingMs: Long = remainingMs,
 ) = AttemptRequest(
     requestId = RequestId(id),
     attemptId = AttemptId("attempt-$id"),
@@ -58,6 +59,7 @@
     deadline = Deadline(monotonicMs() + remainingMs),
     fingerprint = Fingerprint("print"),
     lease = lease,
+    answerDeadline = Deadline(monotonicMs() + answerRemainingMs),
 )
 
 /** Longest time in ms for which a body is read. */
