Join in one place what both daemons do alike

Daemon and PlatformDaemon each had a copy of how gossip actions are performed, of the first entry of a member and of the datagram socket, and passed the parts of the worker to WorkerSupervisor one by one. Four gauges were registered twice. No change of behaviour.

--- a/endivestep/src/main/kotlin/org/endivestep/daemon/Daemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/Daemon.kt
@@ -26,21 +26,17 @@
 import org.endivestep.egress.probeOverHttp
 import org.endivestep.exchange.monotonicMs
 import org.endivestep.identity.ServiceName
-import org.endivestep.identity.randomId
 import org.endivestep.ingress.Dispatcher
 import org.endivestep.ingress.Ingress
 import org.endivestep.ingress.Route
 import org.endivestep.ingress.callerServer
 import org.endivestep.ingress.routes
 import org.endivestep.membership.Gossip
-import org.endivestep.membership.GossipAction
 import org.endivestep.membership.GossipProtocol
 import org.endivestep.membership.Joining
-import org.endivestep.membership.MemberInfo
 import org.endivestep.membership.MemberState
 import org.endivestep.membership.SharedTask
 import org.endivestep.membership.assignedMembers
-import org.endivestep.membership.newDaemonIncarnation
 import org.endivestep.metrics.DaemonMetrics
 import org.endivestep.metrics.OutcomeCounters
 import org.endivestep.probe.IdleProber
@@ -52,8 +48,6 @@
 import org.endivestep.settings.Address
 import org.endivestep.settings.DaemonSettings
 import org.endivestep.store.httpObjectStore
-import java.net.DatagramSocket
-import java.net.InetAddress
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
 import java.util.random.RandomGenerator
@@ -69,6 +63,7 @@
 
 /** One daemon: creates and connects all of its components. */
 internal class Daemon(val settings: DaemonSettings) {
+    private val inner = Address(settings.host, settings.innerPort)
     private val metrics = DaemonMetrics()
     private val counters = OutcomeCounters(metrics.registry)
     private val random = RandomGenerator.of("L64X128MixRandom")
@@ -91,27 +86,21 @@
     private val peerParts = PeerParts(egress, PeerChannels(security), pools)
     private val protocol =
         GossipProtocol(
-            initialMemberInfo(settings),
+            initialMemberInfo(settings.vm, inner, settings.dataCentre, settings.adminPort),
             random,
             overrides = overrides::entries,
             knownSuspicions = workerParts.crashes::suspicions,
         ) {
             adoption.position
         }
-    private val gossip: Gossip = Gossip(protocol, GossipCodec(security), udpSocket(), ::monotonicMs, ::handleGossipAction)
-    private val supervisor: WorkerSupervisor =
-        WorkerSupervisor(
-            workerParts.workers,
-            workerParts.admission,
-            workerParts.crashes,
-            workerParts.inFlight,
-            gossip,
-            ::document,
-        )
+    private val gossip: Gossip = Gossip(protocol, GossipCodec(security), udpSocket(inner), ::monotonicMs) { gossipActions.perform(it) }
+    private val supervisor: WorkerSupervisor = WorkerSupervisor(workerParts, gossip, ::document)
     private val applier: ConfigurationApplier =
         ConfigurationApplier(settings.dataCentre, overrides, workerParts.quarantine, supervisor, workerParts.admission, gossip)
     private val configurationWatcher =
         ConfigurationWatcher(store, adoption, ::isWatchAssigned, peerParts.control::fetchConfiguration, System::currentTimeMillis)
+    private val gossipActions: GossipActions =
+        GossipActions(gossip, pools, peerParts, supervisor, overrides, configurationWatcher::fetchFrom)
     private val joining = Joining(gossip, settings.seeds, store) { peerParts.control.synchronize(it, gossip.members, gossip.self) }
     private val loads = LoadView(::monotonicMs)
     private val claims = Claims(store, settings.vm, System::currentTimeMillis)
@@ -126,7 +115,7 @@
     private val admissionNotices = AdmissionNotices(::monotonicMs)
     private val innerServer =
         innerServer(
-            Address(settings.host, settings.innerPort),
+            inner,
             listOf(security.serverInterceptor { unauthenticatedCalls.incrementAndGet() }),
             callExecutorSupplier(pools.transport),
             peerParts.services(gossip, adoption, counters, overrides, admissionNotices),
@@ -242,19 +231,6 @@
         return settings.vm in assignedMembers(alive.map { it.vm }, SharedTask.CONFIGURATION_WATCH, WATCHERS_PER_DATA_CENTRE)
     }
 
-    private fun handleGossipAction(action: GossipAction) {
-        when (action) {
-            is GossipAction.Synchronize -> pools.submitControl { peerParts.synchronize(gossip, action.peer) }
-            is GossipAction.FetchConfiguration -> configurationWatcher.fetchFrom(action.peer)
-            is GossipAction.Suspicions -> supervisor.suspicionsReceived(action.entries)
-            is GossipAction.Overrides -> overrides.merge(action.entries)
-            is GossipAction.StoreRestored -> Unit
-            is GossipAction.Send -> error("Send actions must be handled by Gossip")
-        }
-    }
-
-    private fun udpSocket() = DatagramSocket(settings.innerPort, InetAddress.getByName(settings.host))
-
     private companion object {
         const val LEFT_PROPAGATION_MS = 300L
         const val IDLE_CHECK_MS = 20L
@@ -262,15 +238,3 @@
         const val HOUSEKEEPING_PERIOD_MS = 60_000L
     }
 }
-
-private fun initialMemberInfo(settings: DaemonSettings) =
-    MemberInfo(
-        vm = settings.vm,
-        inner = Address(settings.host, settings.innerPort),
-        adminPort = settings.adminPort,
-        dataCentre = settings.dataCentre,
-        incarnation = newDaemonIncarnation(System.currentTimeMillis(), randomId()),
-        sequence = 1,
-        state = MemberState.ALIVE,
-        worker = null,
-    )
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/DaemonGauges.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/DaemonGauges.kt
@@ -17,16 +17,11 @@
     adoption: ConfigurationAdoption,
     claimTasks: ClaimTaskExecutor,
 ) {
-    metrics.gauge("endivestep.configuration.version", "Version of the configuration in force") { adoption.version.number }
-    metrics.gauge("endivestep.members.alive", "Daemons thought to be alive") {
-        gossip.members.count { it.state == MemberState.ALIVE }
-    }
+    registerCommonGauges(metrics, gossip, admission, adoption)
     metrics.gauge("endivestep.gossip.sent.bytes", "Bytes of gossip sent") { gossip.sentBytes.get() }
     metrics.gauge("endivestep.gossip.sent.messages", "Gossip datagrams sent") { gossip.sentMessages.get() }
     metrics.gauge("endivestep.gossip.refused", "Gossip datagrams refused") { gossip.refused.get() }
     metrics.gauge("endivestep.gossip.dropped", "Gossip events lost in this daemon") { gossip.dropped.get() }
-    metrics.gauge("endivestep.worker.in.flight", "Requests that the worker has") { admission.load.inFlight }
-    metrics.gauge("endivestep.worker.limit", "Requests that the worker may have") { admission.load.limit }
     metrics.gauge("endivestep.claims.backlog", "Claim records still to be written") { claimTasks.backlog }
 }
 
@@ -39,12 +34,7 @@
     crashes: CrashDetector,
     store: StoreDuties,
 ) {
-    metrics.gauge("endivestep.configuration.version", "Version of the configuration in force") { adoption.version.number }
-    metrics.gauge("endivestep.members.alive", "Daemons thought to be alive") {
-        gossip.members.count { it.state == MemberState.ALIVE }
-    }
-    metrics.gauge("endivestep.worker.in.flight", "Requests that the worker has") { admission.load.inFlight }
-    metrics.gauge("endivestep.worker.limit", "Requests that the worker may have") { admission.load.limit }
+    registerCommonGauges(metrics, gossip, admission, adoption)
     metrics.gauge("endivestep.worker.waiting", "Requests that wait for the worker") { admission.load.waiting }
     metrics.gauge("endivestep.quarantined", "Requests in quarantine") { crashes.quarantinedCount }
     metrics.gauge("endivestep.store.connected", "1 while the store answers") { if (store.isConnected) 1 else 0 }
@@ -58,3 +48,12 @@
     metrics.gauge("endivestep.quota.expired", "Tokens that expired unused") { quotas.expiredTokens }
     metrics.gauge("endivestep.quota.dropped", "Quota datagrams refused or not sent") { quotas.dropped.get() }
 }
+
+private fun registerCommonGauges(metrics: DaemonMetrics, gossip: Gossip, admission: AdmissionQueue, adoption: ConfigurationAdoption) {
+    metrics.gauge("endivestep.configuration.version", "Version of the configuration in force") { adoption.version.number }
+    metrics.gauge("endivestep.members.alive", "Daemons thought to be alive") {
+        gossip.members.count { it.state == MemberState.ALIVE }
+    }
+    metrics.gauge("endivestep.worker.in.flight", "Requests that the worker has") { admission.load.inFlight }
+    metrics.gauge("endivestep.worker.limit", "Requests that the worker may have") { admission.load.limit }
+}
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/PlatformDaemon.kt
@@ -18,7 +18,6 @@
 import org.endivestep.exchange.monotonicMs
 import org.endivestep.http.HttpConnectionPool
 import org.endivestep.identity.AttemptId
-import org.endivestep.identity.randomId
 import org.endivestep.ingress.CallerReply
 import org.endivestep.ingress.CallerRequest
 import org.endivestep.ingress.Dispatcher
@@ -32,12 +31,8 @@
 import org.endivestep.ingress.WeightedChoice
 import org.endivestep.ingress.everyRoute
 import org.endivestep.membership.Gossip
-import org.endivestep.membership.GossipAction
 import org.endivestep.membership.GossipProtocol
 import org.endivestep.membership.GossipSettings
-import org.endivestep.membership.MemberInfo
-import org.endivestep.membership.MemberState
-import org.endivestep.membership.newDaemonIncarnation
 import org.endivestep.metrics.AdmissionMetrics
 import org.endivestep.metrics.DaemonMetrics
 import org.endivestep.metrics.OutcomeCounters
@@ -70,8 +65,6 @@
 import org.endivestep.store.CurrentStoreEra
 import org.endivestep.store.StoreEra
 import org.endivestep.store.firstStoreEra
-import java.net.DatagramSocket
-import java.net.InetAddress
 import java.util.random.RandomGenerator
 
 private val logger = KotlinLogging.logger {}
@@ -122,23 +115,24 @@
         )
     private val peerParts = PeerParts(egress, PeerChannels(security, loops), pools)
     private val protocol =
-        GossipProtocol(initialMemberInfo(), random, GossipSettings(), overrides::entries, ::knownEra, workerParts.crashes::suspicions) {
+        GossipProtocol(
+            initialMemberInfo(settings.vm, inner, settings.dataCentre),
+            random,
+            GossipSettings(),
+            overrides::entries,
+            ::knownEra,
+            workerParts.crashes::suspicions,
+        ) {
             adoption.position
         }
-    private val gossip: Gossip = Gossip(protocol, GossipCodec(security), udpSocket(), ::monotonicMs, ::handleGossipAction)
+    private val gossip: Gossip = Gossip(protocol, GossipCodec(security), udpSocket(inner), ::monotonicMs) { gossipActions.perform(it) }
     private val supervisor: WorkerSupervisor =
-        WorkerSupervisor(
-            workerParts.workers,
-            workerParts.admission,
-            workerParts.crashes,
-            workerParts.inFlight,
-            gossip,
-            ::document,
-            settings.heartbeatIntervalMs * VALID_HEARTBEATS,
-        )
+        WorkerSupervisor(workerParts, gossip, ::document, settings.heartbeatIntervalMs * VALID_HEARTBEATS)
     private val applier: ConfigurationApplier =
         ConfigurationApplier(settings.dataCentre, overrides, workerParts.quarantine, supervisor, workerParts.admission, gossip)
     private val fetcher = ConfigurationFetcher(adoption, peerParts.control::fetchConfiguration, adoption::offerAndLog)
+    private val gossipActions: GossipActions =
+        GossipActions(gossip, pools, peerParts, supervisor, overrides, fetcher::fetchFrom) { storeEra.observe(it, "another daemon") }
     private val storeDuties: StoreDuties =
         StoreDuties(store, gossip, random, adoption, overrides, { peerParts.synchronize(gossip, it) }) { rollouts?.refresh() }
     private val heartbeatReceiver = HeartbeatReceiver(settings.service, settings.worker, workerParts.workers, supervisor::announce)
@@ -162,7 +156,7 @@
     private val senders = RecentSenders(::monotonicMs)
     private val notices =
         LoadNotices(
-            DatagramSocket(inner.port + LoadNotices.PORT_OFFSET, InetAddress.getByName(inner.host)),
+            udpSocket(inner, LoadNotices.PORT_OFFSET),
             settings.vm,
             LoadNoticeRecipients(settings.vm, settings.dataCentre, { gossip.members }, senders),
             { workerParts.admission.load },
@@ -171,7 +165,7 @@
     private val rollouts: RolloutDuties? = versions?.let(::rolloutDuties)
     private val freshness =
         settings.bounds.keyRevocationMs?.let {
-            val socket = udpSocket(FreshnessDatagrams.PORT_OFFSET)
+            val socket = udpSocket(inner, FreshnessDatagrams.PORT_OFFSET)
             FreshnessDuties(it, gossip, adoption, fetcher, ::document, storeDuties::confirmedPosition, socket, random)
         }
     private val quotas: QuotaService =
@@ -298,17 +292,6 @@
         return ingress.answer(request)
     }
 
-    private fun handleGossipAction(action: GossipAction) {
-        when (action) {
-            is GossipAction.Synchronize -> pools.submitControl { peerParts.synchronize(gossip, action.peer) }
-            is GossipAction.FetchConfiguration -> fetcher.fetchFrom(action.peer)
-            is GossipAction.Suspicions -> supervisor.suspicionsReceived(action.entries)
-            is GossipAction.Overrides -> overrides.merge(action.entries)
-            is GossipAction.StoreRestored -> storeEra.observe(action.era, "another daemon")
-            is GossipAction.Send -> error("Send actions must be handled by Gossip")
-        }
-    }
-
     private fun knownEra(): StoreEra = storeEra.era ?: firstStoreEra
 
     private fun rolloutDuties(control: VersionControl) =
@@ -319,24 +302,10 @@
             gossip,
             store,
             random,
-            udpSocket(RolloutDatagrams.PORT_OFFSET),
+            udpSocket(inner, RolloutDatagrams.PORT_OFFSET),
             security,
         )
 
-    private fun udpSocket(portOffset: Int = 0) = DatagramSocket(inner.port + portOffset, InetAddress.getByName(inner.host))
-
-    private fun initialMemberInfo() =
-        MemberInfo(
-            vm = settings.vm,
-            inner = inner,
-            adminPort = 0,
-            dataCentre = settings.dataCentre,
-            incarnation = newDaemonIncarnation(System.currentTimeMillis(), randomId()),
-            sequence = 1,
-            state = MemberState.ALIVE,
-            worker = null,
-        )
-
     private companion object {
         val defaultCallerLimits = CallerLimits()
 
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/WorkerSupervisor.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/WorkerSupervisor.kt
@@ -7,12 +7,9 @@
 import org.endivestep.document.LimitSettings
 import org.endivestep.egress.Announcement
 import org.endivestep.egress.AnnouncementEffect
-import org.endivestep.egress.CrashDetector
-import org.endivestep.egress.InFlightRequests
 import org.endivestep.egress.LocalWorker
 import org.endivestep.egress.WorkerCapacity
 import org.endivestep.egress.WorkerPhase
-import org.endivestep.egress.WorkerRegistry
 import org.endivestep.exchange.monotonicMs
 import org.endivestep.membership.Gossip
 import org.endivestep.membership.WorkerInfo
@@ -22,15 +19,16 @@
 
 /** Tracks the lifecycle of the local worker and notifies peers of changes. */
 internal class WorkerSupervisor(
-    private val workers: WorkerRegistry,
-    private val admission: AdmissionQueue,
-    private val crashes: CrashDetector,
-    private val inFlight: InFlightRequests,
+    parts: WorkerParts,
     private val gossip: Gossip,
     private val document: () -> Document?,
     /** Time in ms for which a heartbeat tells whether the worker is cold. */
     heartbeatValidMs: Long = AdmissionQueue.ALWAYS_VALID_MS,
 ) {
+    private val workers = parts.workers
+    private val admission = parts.admission
+    private val crashes = parts.crashes
+    private val inFlight = parts.inFlight
     private val coldPeriod = ColdPeriod(admission, heartbeatValidMs, ::monotonicMs)
 
     /** Applies the limits that [document] gives the worker's service; to be called before requests are served by it. */
