--- a/endivestep/src/main/kotlin/org/endivestep/daemon/FreshnessDuties.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/FreshnessDuties.kt
@@ -19,6 +19,7 @@
 import org.endivestep.membership.SharedTask
 import org.endivestep.membership.assignedMembers
 import org.endivestep.metrics.DaemonMetrics
+import org.endivestep.platform.PlatformSettings
 import org.endivestep.protocol.FreshnessDatagrams
 import java.net.DatagramSocket
 import java.util.concurrent.atomic.AtomicLong
@@ -144,3 +145,21 @@
         const val MARGIN_MS = 500L
     }
 }
+
+/**
+ * Returns the duties of a daemon with [settings], or null when these set no time limit for keys that were taken away.
+ * Throws [java.io.IOException] if the port is in use.
+ */
+internal fun freshnessDuties(
+    settings: PlatformSettings,
+    gossip: Gossip,
+    adoption: ConfigurationAdoption,
+    fetcher: ConfigurationFetcher,
+    document: () -> Document?,
+    queryStore: ConfigurationQuery,
+    random: RandomGenerator,
+): FreshnessDuties? {
+    val keyRevocationMs = settings.bounds.keyRevocationMs ?: return null
+    val socket = udpSocket(settings.inner, FreshnessDatagrams.PORT_OFFSET)
+    return FreshnessDuties(keyRevocationMs, gossip, adoption, fetcher, document, queryStore, socket, random)
+}
--- a/endivestep/src/main/kotlin/org/endivestep/daemon/RolloutDuties.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/RolloutDuties.kt
@@ -10,6 +10,7 @@
 import org.endivestep.membership.Gossip
 import org.endivestep.membership.MemberInfo
 import org.endivestep.metrics.DaemonMetrics
+import org.endivestep.platform.PlatformSettings
 import org.endivestep.platform.RollOutBounds
 import org.endivestep.protocol.PeerAuthentication
 import org.endivestep.protocol.RolloutDatagrams
@@ -120,3 +121,22 @@
         const val IDLE_MS = 1_000L
     }
 }
+
+/**
+ * Returns the duties of a daemon with [settings], or null when these set no limits for roll-outs, where there are no [versions].
+ * Throws [java.io.IOException] if the port is in use.
+ */
+internal fun rolloutDuties(
+    settings: PlatformSettings,
+    workers: WorkerRegistry,
+    versions: VersionControl?,
+    gossip: Gossip,
+    store: ObjectCollections,
+    random: RandomGenerator,
+    security: PeerAuthentication,
+): RolloutDuties? {
+    val bounds = settings.bounds.rollOut
+    if (bounds == null || versions == null) return null
+    val socket = udpSocket(settings.inner, RolloutDatagrams.PORT_OFFSET)
+    return RolloutDuties(bounds, LocalService(settings.service, workers), versions, gossip, store, random, socket, security)
+}
