--- a/emulator/src/test/kotlin/org/endivestep/emulator/StoppedFleetProcessTest.kt
+++ b/emulator/src/test/kotlin/org/endivestep/emulator/StoppedFleetProcessTest.kt
@@ -118,7 +118,9 @@
             val times = ends.keys.filter { it.isWorkers }.map { TimeUnit.NANOSECONDS.toMillis(it.leftNanos - it.sentNanos) }.sorted()
             return "$answered of ${ends.size} answered, median ${times.getOrNull(times.size / 2)} ms, 99 in 100 within " +
                 "${times.getOrNull(times.size * 99 / 100)} ms; others by status $statuses, 502 without a run $unrun; " +
-                "refused but run $refusedButRun, run twice $runTwice, lost ${lost.size}, ${lost.count { it.isAroundStop }} around a stop of the daemon that took them: $lost"
+                "refused but run $refusedButRun, run twice $runTwice, lost ${lost.size}, ${lost.count {
+                    it.isAroundStop
+                }} around a stop of the daemon that took them: $lost"
         }
 
     private fun CallerEnd.isBrokenOff(): Boolean {
--- a/endivestep/src/test/kotlin/org/endivestep/ingress/RepeatReservationTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/ingress/RepeatReservationTest.kt
@@ -51,7 +51,11 @@
                         reserved = request.reserveRepeat()
                         if (reserved == true) AttemptResult.Unknown(UnknownReason.NO_RESPONSE) else answered()
                     }
-                if (case.spentBefore) repeat(sampleCall(true).service.retry.reserve) { dispatcher.dispatch(sampleCall(true), AttemptId("$it")) }
+                if (case.spentBefore) {
+                    repeat(sampleCall(true).service.retry.reserve) {
+                        dispatcher.dispatch(sampleCall(true), AttemptId("$it"))
+                    }
+                }
                 isSpending = false
                 attempts = 0
                 val result = dispatcher.dispatch(sampleCall(case.idempotent), AttemptId("first"))
--- a/endivestep/src/test/kotlin/org/endivestep/protocol/AttemptStartTest.kt
+++ b/endivestep/src/test/kotlin/org/endivestep/protocol/AttemptStartTest.kt
@@ -74,10 +74,22 @@
                 Case("the daemon has restarted, and its earlier run had still answered", "answered whole", runs = 1) {
                     it.currentIncarnation = DaemonIncarnation("8-later")
                 },
-                Case("the daemon has restarted, and nothing more comes of its earlier run", "unknown CONNECTION_LOST", 1, workMs = 4 * WORK_MS) {
+                Case(
+                    "the daemon has restarted, and nothing more comes of its earlier run",
+                    "unknown CONNECTION_LOST",
+                    1,
+                    workMs =
+                    4 * WORK_MS,
+                ) {
                     it.currentIncarnation = DaemonIncarnation("8-later")
                 },
-                Case("the deadline passes while nothing is heard", "unknown TIMEOUT", runs = 1, workMs = 4 * WORK_MS, remainingMs = WORK_MS),
+                Case(
+                    "the deadline passes while nothing is heard",
+                    "unknown TIMEOUT",
+                    runs = 1,
+                    workMs = 4 * WORK_MS,
+                    remainingMs = WORK_MS,
+                ),
             ).forEach { case ->
                 val begun = AtomicInteger()
                 val worker: WorkerCall = { local, request ->
@@ -91,7 +103,10 @@
                         Thread.sleep(ADMIT_MS / 2)
                         case.duringAttempt(wire)
                     }
-                    val result = wire.client.attempt(wire.peer, sampleAttempt(remainingMs = case.remainingMs, mayRepeat = case.mayRepeat)).summary()
+                    val result = wire.client.attempt(
+                        wire.peer,
+                        sampleAttempt(remainingMs = case.remainingMs, mayRepeat = case.mayRepeat),
+                    ).summary()
                     Thread.sleep(case.startDelayMs)
                     withClue(case.name) {
                         result shouldBe case.expected
