--- a/endivestep/src/main/kotlin/org/endivestep/daemon/InnerServer.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/daemon/InnerServer.kt
@@ -40,5 +40,5 @@
         .apply { services.forEach(::addService) }
         .build()
 
-/** Takes no more calls, and waits at most [timeoutMs] until the responses to those in progress have been sent; returns whether they have. */
+/** Takes no more calls, and waits at most [timeoutMs] until the responses to the others have been sent; returns whether they have. */
 internal fun Server.endCalls(timeoutMs: Long): Boolean = shutdown().awaitTermination(timeoutMs, TimeUnit.MILLISECONDS)
--- a/endivestep/src/main/kotlin/org/endivestep/exchange/AttemptRequest.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/exchange/AttemptRequest.kt
@@ -79,7 +79,7 @@
         return copy(RequestBody.Streamed(bytes.inputStream(), bytes.size.toLong()), cancellation, reserveRepeat)
     }
 
-    /** Returns this request with [cancellation] in place of its own, as one of two attempts that may run at a time; none follows for either. */
+    /** Returns this request with [cancellation] in place of its own, as one of two attempts at a time, neither of which is repeated. */
     fun withCancellation(cancellation: Cancellation): AttemptRequest = copy(body, cancellation) { false }
 
     private fun copy(body: RequestBody, cancellation: Cancellation, reserveRepeat: () -> Boolean) =
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeLog.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/ExchangeLog.kt
@@ -16,8 +16,8 @@
 }
 
 /**
- * Writes a line for each attempt at another daemon that ended without an answer on its stream: which side ended it, and what this daemon had
- * heard of it by then. Times in the lines are in ms since the attempt was begun. Rate-limited.
+ * Writes a line for each attempt at another daemon that ended without an answer on its stream: which side ended it, and what this
+ * daemon had heard of it by then. Times in the lines are in ms since the attempt was begun. Rate-limited.
  */
 internal class ExchangeLog {
     private val log = RateLimitedLog(logger, LINES_PER_SECOND, ::monotonicMs)
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/StartInquiry.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/StartInquiry.kt
@@ -14,7 +14,7 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
 
-/** Time in ms after which an answer to a question is discarded: the other daemon may have forgotten the start since the question was sent. */
+/** Time in ms after which an answer to a question is discarded: the other daemon may have forgotten the start since then. */
 internal const val MAX_ANSWER_MS = AttemptRegistry.FENCE_MARGIN_MS - 1_000L
 
 /**
--- a/endivestep/src/main/kotlin/org/endivestep/protocol/TransferTime.kt
+++ b/endivestep/src/main/kotlin/org/endivestep/protocol/TransferTime.kt
@@ -10,8 +10,8 @@
 private const val DEADLINE_GRACE_MS = 100L
 
 /**
- * Returns the time in ms from now for which an answer to a request with [deadline], and each part of it, is awaited. The worker may be silent
- * until then, and so may it leave the rest of an upload unread.
+ * Returns the time in ms from now for which an answer to a request with [deadline], and each part of it, is awaited. The worker may
+ * be silent until then, and so may it leave the rest of an upload unread.
  */
 internal fun answerWaitMs(deadline: Deadline): Long = deadline.remainingMs(monotonicMs()) + DEADLINE_GRACE_MS
 
